--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Benchmarks of the decisions with regression bounds. */
+@NullMarked
+package firwheel.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The firwheel binary. */
+@NullMarked
+package firwheel.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/wire/src/main/java/firwheel/wire/package-info.java
@@ -0,0 +1,5 @@
+/** Framed MessagePack messages and authenticated links between firwheel processes. */
+@NullMarked
+package firwheel.wire;
+
+import org.jspecify.annotations.NullMarked;
