Shared records, result codes, events and ports

Cause: modules need settled interfaces before they are built side by side. Change: model (rows, ids, codes, events, time source), platform ports, an in-memory table service and the routing contracts.

--- /dev/null
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -0,0 +1,62 @@
+package firwheel.model;
+
+import java.util.Locale;
+
+/**
+ * Numbered log events. 1xx: life of a process; 2xx: requests; 3xx: table; 4xx: platform and leases; 5xx: links and
+ * membership; 6xx: expert maps. The catalogue in {@code docs/EVENTS.md} is held against this list by a test.
+ */
+public enum EventCode {
+    PROCESS_STARTED(101, Severity.INFO, "A process has started and listens."),
+    PROCESS_DRAINING(102, Severity.INFO, "A process takes no new work and finishes what runs."),
+    PROCESS_STOPPED(103, Severity.INFO, "A process has stopped."),
+    DRAIN_CUT(104, Severity.ERROR, "The drain limit passed with requests still running."),
+    REQUEST_REFUSED(201, Severity.INFO, "A request was refused; the code says why."),
+    REQUEST_FAILED(202, Severity.WARN, "A request failed after it ran, or its outcome is unknown."),
+    FOREIGN_FRAME(203, Severity.WARN, "A frame for no attempt of this process was dropped."),
+    TABLE_IN_FORCE(301, Severity.INFO, "A table revision is in force on this host."),
+    TABLE_REJECTED(302, Severity.ERROR, "Rows in the store fail the checks; the last good revision stays in force."),
+    TABLE_OLDER(303, Severity.WARN, "An older table revision was offered and ignored."),
+    PLATFORM_DOWN(401, Severity.WARN, "The platform does not answer."),
+    PLATFORM_BACK(402, Severity.INFO, "The platform answers again."),
+    LEASE_ACQUIRED(403, Severity.INFO, "This host holds the controller lease of its zone."),
+    LEASE_RELEASED(404, Severity.INFO, "This host no longer holds the controller lease."),
+    LINK_REFUSED(501, Severity.WARN, "A peer failed authentication or sent a bad frame; its link was closed."),
+    LINK_UP(502, Severity.INFO, "A link to a peer is up."),
+    LINK_DOWN(503, Severity.INFO, "A link to a peer is down."),
+    MAP_COMMITTED(601, Severity.INFO, "A group switched to a new expert map."),
+    MAP_ABORTED(602, Severity.WARN, "A proposed expert map was aborted."),
+    PLAN_SKIPPED(603, Severity.INFO, "A planning round changed nothing; the reason is in the event.");
+
+    /** Severity of an event, as the logging library names it. */
+    public enum Severity {
+        INFO,
+        WARN,
+        ERROR
+    }
+
+    private final int number;
+    private final Severity severity;
+    private final String summary;
+
+    EventCode(int number, Severity severity, String summary) {
+        this.number = number;
+        this.severity = severity;
+        this.summary = summary;
+    }
+
+    /** Returns the event as logs show it, such as {@code EV-101}. */
+    public String label() {
+        return String.format(Locale.ROOT, "EV-%03d", number);
+    }
+
+    /** Returns the severity. */
+    public Severity severity() {
+        return severity;
+    }
+
+    /** Returns one sentence that says what happened. */
+    public String summary() {
+        return summary;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/firwheel/model/ManualTimeSource.java
@@ -0,0 +1,30 @@
+package firwheel.model;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** Time source that only moves when it is told to. Not thread-safe. */
+public final class ManualTimeSource implements TimeSource {
+    private final Instant origin;
+    private long elapsedNanos;
+
+    /** Creates a time source that starts at {@code origin} with a monotonic reading of zero. */
+    public ManualTimeSource(Instant origin) {
+        this.origin = origin;
+    }
+
+    /** Moves both readings forward. */
+    public void advance(Duration step) {
+        elapsedNanos += step.toNanos();
+    }
+
+    @Override
+    public Instant now() {
+        return origin.plusNanos(elapsedNanos);
+    }
+
+    @Override
+    public long monotonicNanos() {
+        return elapsedNanos;
+    }
+}
