Table files, checks, merge and transactional commit

Cause: operators edit one table; every process needs its rows from the platform. Change: keys, JSON and CSV forms, checks that report all mistakes, reader that replays audit records over torn pages, committer with change marker and audit record in one transaction. Ruled out: re-reading until two revisions agree, which never ends under steady changes at 12,000 rows.

--- /dev/null
+++ b/table/src/main/java/firwheel/table/RowJson.java
@@ -0,0 +1,58 @@
+package firwheel.table;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import firwheel.model.TargetRow;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+
+/** Converts the table's records to and from the JSON text that the platform stores. Fields unknown here are ignored. */
+public final class RowJson {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+
+    private RowJson() {}
+
+    /** Returns the JSON text of a row. */
+    public static String write(TargetRow row) {
+        return writeValue(row);
+    }
+
+    /** Parses a row; fails with {@code FW-5002} when the text is damaged. */
+    public static TargetRow readRow(String json) {
+        return readValue(json, TargetRow.class);
+    }
+
+    /** Returns the JSON text of any of the table's records. */
+    static String writeValue(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not writable as JSON: " + value.getClass(), e);
+        }
+    }
+
+    /** Parses one of the table's records; fails with {@code FW-5002} when the text is damaged. */
+    static <T> T readValue(String json, Class<T> type) {
+        try {
+            T value = MAPPER.readValue(json, type);
+            if (value == null) {
+                throw damaged(type, null);
+            }
+            return value;
+        } catch (JsonProcessingException e) {
+            throw damaged(type, e);
+        }
+    }
+
+    private static FirwheelException damaged(Class<?> type, @Nullable Throwable cause) {
+        String detail = "damaged " + type.getSimpleName() + " in the store";
+        return new FirwheelException(ResultCode.TABLE_FIELD, detail, Duration.ZERO, cause);
+    }
+}
--- /dev/null
+++ b/table/src/main/java/firwheel/table/RowParser.java
@@ -0,0 +1,164 @@
+package firwheel.table;
+
+import firwheel.model.RankAddress;
+import firwheel.model.ResultCode;
+import firwheel.model.RowState;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** Parses the fields of one line and collects all mistakes in it. */
+final class RowParser {
+    private static final List<TableColumn> COLUMNS = List.of(TableColumn.values());
+
+    private final int line;
+    private final List<String> fields;
+    private final List<TableProblem> problems = new ArrayList<>();
+
+    RowParser(int line, List<String> fields) {
+        this.line = line;
+        this.fields = fields;
+    }
+
+    List<TableProblem> problems() {
+        return problems;
+    }
+
+    /** Returns the row, or empty when a field is wrong. */
+    Optional<TargetRow> parse() {
+        int columns = COLUMNS.size();
+        if (fields.size() != columns) {
+            problems.add(new TableProblem(
+                    ResultCode.TABLE_SYNTAX,
+                    line,
+                    "",
+                    "the line has " + fields.size() + " fields.",
+                    "Give " + columns + " fields; quote fields that contain commas."));
+            return Optional.empty();
+        }
+        String name = field(TableColumn.NAME);
+        TargetKind kind = oneOf(TableColumn.KIND, TargetKind.MODEL);
+        List<String> models = list(TableColumn.MODELS);
+        String zone = field(TableColumn.AVAILABILITY_ZONE);
+        RowState state = oneOf(TableColumn.STATE, RowState.SERVING);
+        double weight = decimal(TableColumn.WEIGHT);
+        int maxInFlight = (int) whole(TableColumn.MAX_IN_FLIGHT, 1, Integer.MAX_VALUE);
+        int maxQueue = (int) whole(TableColumn.MAX_QUEUE, 0, Integer.MAX_VALUE);
+        long maxTokens = whole(TableColumn.MAX_TOKENS_IN_FLIGHT, 1, Long.MAX_VALUE);
+        boolean idempotent = flag(TableColumn.IDEMPOTENT);
+        List<RankAddress> hosts = hosts();
+        boolean checksOrders = flag(TableColumn.CHECKS_ORDERS);
+        boolean fencesOrders = flag(TableColumn.FENCES_ORDERS);
+        double skewPrice = decimal(TableColumn.SKEW_PRICE);
+        double movePrice = decimal(TableColumn.MOVE_PRICE);
+        if (!problems.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new TargetRow(
+                name,
+                kind,
+                models,
+                zone,
+                state,
+                weight,
+                maxInFlight,
+                maxQueue,
+                maxTokens,
+                idempotent,
+                hosts,
+                checksOrders,
+                fencesOrders,
+                skewPrice,
+                movePrice));
+    }
+
+    private String field(TableColumn column) {
+        return fields.get(COLUMNS.indexOf(column)).trim();
+    }
+
+    private List<String> list(TableColumn column) {
+        return Arrays.stream(field(column).split(";", -1))
+                .map(String::trim)
+                .filter(part -> !part.isEmpty())
+                .toList();
+    }
+
+    private <E extends Enum<E>> E oneOf(TableColumn column, E fallback) {
+        Class<E> type = fallback.getDeclaringClass();
+        String allowed = Arrays.toString(type.getEnumConstants()).toLowerCase(Locale.ROOT);
+        return convert(
+                column, fallback, "one of " + allowed, text -> Enum.valueOf(type, text.toUpperCase(Locale.ROOT)));
+    }
+
+    private boolean flag(TableColumn column) {
+        return convert(column, false, "true or false", text -> switch (text) {
+            case "true" -> true;
+            case "false" -> false;
+            default -> throw new IllegalArgumentException(text);
+        });
+    }
+
+    private double decimal(TableColumn column) {
+        return convert(column, 0.0, "a number of at least 0", text -> {
+            double value = Double.parseDouble(text);
+            require(value >= 0 && Double.isFinite(value), text);
+            return value;
+        });
+    }
+
+    private long whole(TableColumn column, long least, long most) {
+        String wanted = "a whole number of at least " + least + (most < Long.MAX_VALUE ? ", at most " + most : "");
+        return convert(column, least, wanted, text -> {
+            long value = Long.parseLong(text);
+            require(value >= least && value <= most, text);
+            return value;
+        });
+    }
+
+    private List<RankAddress> hosts() {
+        String wanted = "rank:ip:port, separated by semicolons";
+        return convert(TableColumn.HOSTS, List.of(), wanted, text -> Arrays.stream(text.split(";", -1))
+                .map(String::trim)
+                .filter(part -> !part.isEmpty())
+                .map(RowParser::host)
+                .sorted(Comparator.comparingInt(RankAddress::rank))
+                .toList());
+    }
+
+    private static RankAddress host(String text) {
+        int first = text.indexOf(':');
+        int last = text.lastIndexOf(':');
+        require(first > 0 && last > first, text);
+        return new RankAddress(
+                Integer.parseInt(text.substring(0, first)),
+                text.substring(first + 1, last),
+                Integer.parseInt(text.substring(last + 1)));
+    }
+
+    private <T> T convert(TableColumn column, T fallback, String wanted, Function<String, T> conversion) {
+        String text = field(column);
+        try {
+            return conversion.apply(text);
+        } catch (IllegalArgumentException e) {
+            problems.add(new TableProblem(
+                    ResultCode.TABLE_FIELD,
+                    line,
+                    column.header(),
+                    "'" + text + "' is not valid.",
+                    "Give " + wanted + "."));
+            return fallback;
+        }
+    }
+
+    private static void require(boolean holds, String text) {
+        if (!holds) {
+            throw new IllegalArgumentException(text);
+        }
+    }
+}
--- /dev/null
+++ b/table/src/main/java/firwheel/table/TableChecks.java
@@ -0,0 +1,179 @@
+package firwheel.table;
+
+import firwheel.model.RankAddress;
+import firwheel.model.ResultCode;
+import firwheel.model.RowState;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetRow;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/** Checks whole tables and reports all mistakes at once. */
+public final class TableChecks {
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+    private static final Pattern IPV4 =
+            Pattern.compile("((25[0-5]|2[0-4]\\d|1?\\d?\\d)\\.){3}(25[0-5]|2[0-4]\\d|1?\\d?\\d)");
+    private static final Pattern IPV6 = Pattern.compile("[0-9a-fA-F:]*:[0-9a-fA-F:.]*");
+
+    private TableChecks() {}
+
+    /**
+     * Options of the checks.
+     *
+     * @param allowEmpty whether a change may leave a model without a serving target
+     */
+    public record Option(boolean allowEmpty) {
+        /** No exception is made. */
+        public static final Option NONE = new Option(false);
+    }
+
+    /** Checks the rows of a file. */
+    public static List<TableProblem> check(List<NumberedRow> rows) {
+        List<TableProblem> problems = new ArrayList<>();
+        rows.forEach(row -> checkRow(row, problems));
+        checkNames(rows, problems);
+        checkAddresses(rows, problems);
+        return problems;
+    }
+
+    /** Checks a table that is not from a file. */
+    public static List<TableProblem> check(TableSnapshot table) {
+        return check(table.rows().stream().map(row -> new NumberedRow(0, row)).toList());
+    }
+
+    /** Checks a table and what the change to it leaves without a serving target. */
+    public static List<TableProblem> checkChange(TableSnapshot before, TableSnapshot after, Option option) {
+        List<TableProblem> problems = new ArrayList<>(check(after));
+        if (!option.allowEmpty()) {
+            problems.addAll(emptied(before, after));
+        }
+        return problems;
+    }
+
+    /** Returns one mistake for each model or service that {@code after} leaves without a serving target. */
+    public static List<TableProblem> emptied(TableSnapshot before, TableSnapshot after) {
+        Set<String> lost = served(before);
+        lost.removeAll(served(after));
+        return lost.stream()
+                .map(name -> new TableProblem(
+                        ResultCode.TABLE_EMPTY_MODEL,
+                        0,
+                        TableColumn.MODELS.header(),
+                        name + " is left with no serving target.",
+                        "Keep a serving row of weight above 0, or pass --allow-empty."))
+                .toList();
+    }
+
+    private static Set<String> served(TableSnapshot table) {
+        return table.rows().stream()
+                .filter(row -> row.state() == RowState.SERVING && row.weight() > 0)
+                .flatMap(row -> row.models().stream().map(name -> TableColumn.KIND.format(row) + " " + name))
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private static void checkRow(NumberedRow numbered, List<TableProblem> problems) {
+        TargetRow row = numbered.row();
+        checkName(numbered, TableColumn.NAME, row.name(), problems);
+        checkName(numbered, TableColumn.AVAILABILITY_ZONE, row.availabilityZone(), problems);
+        row.models().forEach(model -> checkModel(numbered, model, problems));
+        if (row.models().isEmpty()) {
+            problems.add(field(numbered, TableColumn.MODELS, "the list is empty.", "Name what the row serves."));
+        }
+        if (!Double.isFinite(row.weight()) || !(row.skewPrice() >= 0) || !(row.movePrice() >= 0)) {
+            problems.add(field(
+                    numbered, TableColumn.WEIGHT, "weight or price is not a number.", "Give numbers of at least 0."));
+        }
+        checkHosts(numbered, problems);
+    }
+
+    private static void checkName(NumberedRow row, TableColumn column, String text, List<TableProblem> problems) {
+        if (!NAME.matcher(text).matches()) {
+            problems.add(field(
+                    row,
+                    column,
+                    "'" + text + "' is not a valid name.",
+                    "Use up to 64 letters, digits, dots, dashes and underscores."));
+        }
+    }
+
+    private static void checkModel(NumberedRow row, String model, List<TableProblem> problems) {
+        if (model.isBlank() || model.length() > 128 || model.contains(";") || !model.equals(model.trim())) {
+            problems.add(field(
+                    row,
+                    TableColumn.MODELS,
+                    "'" + model + "' is not a valid name.",
+                    "Use up to 128 characters, no semicolon."));
+        }
+    }
+
+    private static void checkHosts(NumberedRow numbered, List<TableProblem> problems) {
+        List<RankAddress> hosts = numbered.row().hosts();
+        if (hosts.isEmpty()) {
+            problems.add(field(numbered, TableColumn.HOSTS, "the list is empty.", "Give rank:ip:port."));
+        }
+        boolean inOrder = true;
+        for (int rank = 0; rank < hosts.size(); rank++) {
+            RankAddress host = hosts.get(rank);
+            inOrder &= host.rank() == rank;
+            if (!IPV4.matcher(host.ip()).matches() && !IPV6.matcher(host.ip()).matches()) {
+                problems.add(field(
+                        numbered, TableColumn.HOSTS, "'" + host.ip() + "' is not an IP number.", "Give an IP number."));
+            }
+        }
+        if (!inOrder) {
+            String ranks =
+                    hosts.stream().map(host -> String.valueOf(host.rank())).collect(Collectors.joining(", "));
+            problems.add(new TableProblem(
+                    ResultCode.TABLE_RANKS,
+                    numbered.line(),
+                    TableColumn.HOSTS.header(),
+                    "the ranks are " + ranks + ".",
+                    "Number them 0 to " + (hosts.size() - 1) + ", each once."));
+        }
+    }
+
+    private static void checkNames(List<NumberedRow> rows, List<TableProblem> problems) {
+        Map<String, NumberedRow> seen = new HashMap<>();
+        for (NumberedRow row : rows) {
+            NumberedRow first = seen.putIfAbsent(row.row().name(), row);
+            if (first != null) {
+                problems.add(
+                        duplicate(row, TableColumn.NAME, "name " + row.row().name(), first));
+            }
+        }
+    }
+
+    private static void checkAddresses(List<NumberedRow> rows, List<TableProblem> problems) {
+        Map<String, NumberedRow> seen = new HashMap<>();
+        for (NumberedRow row : rows) {
+            for (RankAddress host : row.row().hosts()) {
+                NumberedRow first = seen.putIfAbsent(host.endpoint(), row);
+                if (first != null) {
+                    problems.add(duplicate(row, TableColumn.HOSTS, "address " + host.endpoint(), first));
+                }
+            }
+        }
+    }
+
+    private static TableProblem duplicate(NumberedRow row, TableColumn column, String what, NumberedRow first) {
+        String place = first.line() == 0 ? "" : ", line " + first.line();
+        return new TableProblem(
+                ResultCode.TABLE_DUPLICATE,
+                row.line(),
+                column.header(),
+                what + " of row " + row.row().name() + " is used by row "
+                        + first.row().name() + place + ".",
+                "Remove one of the two.");
+    }
+
+    private static TableProblem field(NumberedRow row, TableColumn column, String detail, String remedy) {
+        String where = row.line() == 0 ? "row " + row.row().name() + ": " : "";
+        return new TableProblem(ResultCode.TABLE_FIELD, row.line(), column.header(), where + detail, remedy);
+    }
+}
--- /dev/null
+++ b/table/src/main/java/firwheel/table/TableCommitter.java
@@ -0,0 +1,200 @@
+package firwheel.table;
+
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetRow;
+import firwheel.model.TimeSource;
+import firwheel.platform.CommitResult;
+import firwheel.platform.Condition;
+import firwheel.platform.Delay;
+import firwheel.platform.StoredRow;
+import firwheel.platform.TableService;
+import firwheel.platform.Transaction;
+import firwheel.platform.Write;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Applies changes to the table, each in one transaction with its audit record. Repeating a change with the same id is
+ * harmless, so a lost answer is settled by trying again.
+ */
+public final class TableCommitter {
+    private static final int MAX_ATTEMPTS = 12;
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(50);
+    private static final Duration LARGEST_BACKOFF = Duration.ofSeconds(2);
+
+    private final TableService service;
+    private final TableReader reader;
+    private final TimeSource time;
+    private final Delay delay;
+
+    /** Creates a committer that waits by {@code delay} between attempts. */
+    public TableCommitter(TableService service, TimeSource time, Delay delay) {
+        this.service = service;
+        this.reader = new TableReader(service);
+        this.time = time;
+        this.delay = delay;
+    }
+
+    /**
+     * Applies the difference between {@code base} and {@code edited} to the present table. Changes that others made to
+     * other rows since {@code base} are kept.
+     *
+     * @param base table that the edit started from, as the store had it at that revision
+     * @param edited wanted table
+     * @param author who makes the change
+     * @param reason why
+     * @param changeId unique id of the change
+     */
+    public CompletableFuture<ApplyResult> apply(
+            TableSnapshot base, TableSnapshot edited, String author, String reason, String changeId) {
+        return apply(base, edited, author, reason, changeId, TableChecks.Option.NONE);
+    }
+
+    /** As {@link #apply(TableSnapshot, TableSnapshot, String, String, String)}, with options for the checks. */
+    public CompletableFuture<ApplyResult> apply(
+            TableSnapshot base,
+            TableSnapshot edited,
+            String author,
+            String reason,
+            String changeId,
+            TableChecks.Option option) {
+        Change change = new Change(base, TableDiff.changes(base, edited), author, reason, changeId, option);
+        return attempt(change, 1);
+    }
+
+    private CompletableFuture<ApplyResult> attempt(Change change, int attempt) {
+        return attemptOnce(change)
+                .handle((result, error) -> error == null
+                        ? new Answer(result.orElse(null), raced())
+                        : new Answer(null, FirwheelException.of(error)))
+                .thenCompose(answer -> {
+                    ApplyResult result = answer.result();
+                    return result != null
+                            ? CompletableFuture.completedFuture(result)
+                            : retryOrFail(change, attempt, answer.failure());
+                });
+    }
+
+    private static FirwheelException raced() {
+        return new FirwheelException(ResultCode.PLATFORM_RATE_LIMITED, "other changes kept getting in between");
+    }
+
+    private CompletableFuture<ApplyResult> retryOrFail(Change change, int attempt, FirwheelException failure) {
+        boolean retryable = failure.code() == ResultCode.PLATFORM_UNREACHABLE
+                || failure.code() == ResultCode.PLATFORM_UNKNOWN
+                || failure.code() == ResultCode.PLATFORM_RATE_LIMITED;
+        if (!retryable || attempt >= MAX_ATTEMPTS) {
+            return CompletableFuture.failedFuture(failure);
+        }
+        Duration wait = FIRST_BACKOFF.multipliedBy(1L << Math.min(attempt - 1, 10));
+        Duration bounded = wait.compareTo(LARGEST_BACKOFF) > 0 ? LARGEST_BACKOFF : wait;
+        return delay.after(bounded).thenCompose(done -> attempt(change, attempt + 1));
+    }
+
+    /** Returns empty when another change got in between and the attempt has to start over. */
+    private CompletableFuture<Optional<ApplyResult>> attemptOnce(Change change) {
+        List<String> keys = new ArrayList<>(List.of(TableKeys.change(change.changeId()), TableKeys.REVISION));
+        change.changes().forEach(row -> keys.add(TableKeys.row(row.name())));
+        return service.read(keys).thenCompose(stored -> {
+            StoredRow marker = find(stored, TableKeys.change(change.changeId()));
+            if (marker.version() > 0) {
+                long revision =
+                        RowJson.readValue(marker.value(), StoredRevision.class).revision();
+                return done(ApplyResult.of(ApplyResult.Status.ALREADY_APPLIED, revision));
+            }
+            return reader.readAudit(change.base().revision()).thenCompose(since -> merge(change, stored, since));
+        });
+    }
+
+    private CompletableFuture<Optional<ApplyResult>> merge(
+            Change change, List<StoredRow> stored, List<AuditRecord> since) {
+        StoredRow revisionRow = find(stored, TableKeys.REVISION);
+        long present = revisionRow.version() == 0 ? 0 : TableReader.revisionOf(List.of(revisionRow));
+        if (present < change.base().revision()) {
+            return CompletableFuture.failedFuture(new FirwheelException(
+                    ResultCode.TABLE_BASE_UNKNOWN,
+                    "the change starts from revision " + change.base().revision() + ", the store has " + present));
+        }
+        if (present != change.base().revision() + since.size()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        TableMerge merge = TableMerge.of(change.base(), change.changes(), since);
+        if (!merge.conflicts().isEmpty()) {
+            return done(new ApplyResult(ApplyResult.Status.CONFLICT, present, merge.conflicts(), List.of()));
+        }
+        if (merge.remaining().isEmpty()) {
+            return done(ApplyResult.of(ApplyResult.Status.UNCHANGED, present));
+        }
+        List<TableProblem> problems = TableChecks.checkChange(merge.present(), merge.result(), change.option());
+        if (!problems.isEmpty()) {
+            return done(new ApplyResult(ApplyResult.Status.REFUSED, present, List.of(), problems));
+        }
+        return commit(change, merge, stored, revisionRow);
+    }
+
+    private CompletableFuture<Optional<ApplyResult>> commit(
+            Change change, TableMerge merge, List<StoredRow> stored, StoredRow revisionRow) {
+        long revision = merge.result().revision();
+        List<Condition> conditions = new ArrayList<>();
+        conditions.add(new Condition(TableKeys.REVISION, revisionRow.version()));
+        conditions.add(new Condition(TableKeys.change(change.changeId()), 0));
+        List<Write> writes = new ArrayList<>();
+        String marker = RowJson.writeValue(new StoredRevision(revision));
+        writes.add(new Write(TableKeys.REVISION, marker));
+        writes.add(new Write(TableKeys.change(change.changeId()), marker));
+        AuditRecord audit = new AuditRecord(
+                revision,
+                change.changeId(),
+                change.author(),
+                change.reason(),
+                time.now().toEpochMilli(),
+                merge.remaining());
+        writes.add(new Write(TableKeys.audit(revision), RowJson.writeValue(audit)));
+        for (RowChange row : merge.remaining()) {
+            StoredRow present = find(stored, TableKeys.row(row.name()));
+            requireSame(present, row.before());
+            conditions.add(new Condition(present.key(), present.version()));
+            TargetRow after = row.after();
+            writes.add(new Write(present.key(), after == null ? null : RowJson.write(after)));
+        }
+        return service.commit(new Transaction(conditions, writes)).thenApply(answer -> applied(answer, revision));
+    }
+
+    private static Optional<ApplyResult> applied(CommitResult answer, long revision) {
+        return answer.applied() ? Optional.of(ApplyResult.of(ApplyResult.Status.APPLIED, revision)) : Optional.empty();
+    }
+
+    private static void requireSame(StoredRow stored, @Nullable TargetRow expected) {
+        TargetRow present = stored.version() == 0 ? null : RowJson.readRow(stored.value());
+        if (!Objects.equals(present, expected)) {
+            throw new FirwheelException(
+                    ResultCode.TABLE_FIELD, stored.key() + " in the store differs from its audit records");
+        }
+    }
+
+    private static StoredRow find(List<StoredRow> rows, String key) {
+        return rows.stream().filter(row -> row.key().equals(key)).findFirst().orElse(new StoredRow(key, 0, ""));
+    }
+
+    private static CompletableFuture<Optional<ApplyResult>> done(ApplyResult result) {
+        return CompletableFuture.completedFuture(Optional.of(result));
+    }
+
+    /** What one attempt gave; {@code failure} counts only without a result. */
+    private record Answer(@Nullable ApplyResult result, FirwheelException failure) {}
+
+    private record Change(
+            TableSnapshot base,
+            List<RowChange> changes,
+            String author,
+            String reason,
+            String changeId,
+            TableChecks.Option option) {}
+}
--- /dev/null
+++ b/table/src/main/java/firwheel/table/TableReader.java
@@ -0,0 +1,118 @@
+package firwheel.table;
+
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetRow;
+import firwheel.platform.StoredRow;
+import firwheel.platform.TableService;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Reads the table from the platform. Futures fail with {@code FW-5002} when stored rows are damaged, and with the
+ * platform's own codes when it does not answer.
+ */
+public final class TableReader {
+    private static final int PAGE_ROWS = 1_000;
+
+    private final TableService service;
+
+    /** Creates a reader. */
+    public TableReader(TableService service) {
+        this.service = service;
+    }
+
+    /** Reads the present revision; 0 before the first change. */
+    public CompletableFuture<Long> readRevision() {
+        return service.read(List.of(TableKeys.REVISION)).thenApply(TableReader::revisionOf);
+    }
+
+    /**
+     * Reads the whole table at one revision. Rows are read in pages, so changes made meanwhile may show in some pages
+     * only; replaying their audit records makes the result exact.
+     */
+    public CompletableFuture<TableSnapshot> read() {
+        return readRevision().thenCompose(first -> readRows(TableKeys.ROW_PREFIX, new ArrayList<>())
+                .thenCompose(rows -> readAudit(first).thenApply(records -> replay(rows, first, records))));
+    }
+
+    /** Reads the table as it was at {@code revision}. Fails with {@code FW-5007} for a revision not yet made. */
+    public CompletableFuture<TableSnapshot> readAt(long revision) {
+        return read().thenCompose(present -> {
+            if (present.revision() == revision) {
+                return CompletableFuture.completedFuture(present);
+            }
+            if (present.revision() < revision) {
+                return CompletableFuture.failedFuture(new FirwheelException(
+                        ResultCode.TABLE_BASE_UNKNOWN,
+                        "the file starts from revision " + revision + ", the store has " + present.revision()));
+            }
+            return readAudit(revision)
+                    .thenApply(records -> TableDiff.undo(
+                            present,
+                            records.stream()
+                                    .filter(record -> record.revision() <= present.revision())
+                                    .toList(),
+                            revision));
+        });
+    }
+
+    /** Reads all audit records after {@code revision}, oldest first. */
+    public CompletableFuture<List<AuditRecord>> readAudit(long revision) {
+        return readAuditPages(revision, new ArrayList<>());
+    }
+
+    /** Reads at most {@code limit} audit records after {@code revision}, oldest first. */
+    public CompletableFuture<List<AuditRecord>> readAudit(long revision, int limit) {
+        return service.scan(TableKeys.AUDIT_PREFIX, TableKeys.audit(revision), limit)
+                .thenApply(rows -> rows.stream()
+                        .map(row -> RowJson.readValue(row.value(), AuditRecord.class))
+                        .toList());
+    }
+
+    private CompletableFuture<List<AuditRecord>> readAuditPages(long revision, List<AuditRecord> found) {
+        return readAudit(revision, PAGE_ROWS).thenCompose(page -> {
+            found.addAll(page);
+            return page.size() < PAGE_ROWS
+                    ? CompletableFuture.completedFuture(found)
+                    : readAuditPages(page.get(page.size() - 1).revision(), found);
+        });
+    }
+
+    private CompletableFuture<List<TargetRow>> readRows(String afterKey, List<TargetRow> found) {
+        return service.scan(TableKeys.ROW_PREFIX, afterKey, PAGE_ROWS).thenCompose(page -> {
+            page.forEach(row -> found.add(rowOf(row)));
+            return page.size() < PAGE_ROWS
+                    ? CompletableFuture.completedFuture(found)
+                    : readRows(page.get(page.size() - 1).key(), found);
+        });
+    }
+
+    private static TargetRow rowOf(StoredRow stored) {
+        TargetRow row = RowJson.readRow(stored.value());
+        if (!TableKeys.row(row.name()).equals(stored.key())) {
+            throw new FirwheelException(ResultCode.TABLE_FIELD, "row stored under another name: " + stored.key());
+        }
+        return row;
+    }
+
+    private static TableSnapshot replay(List<TargetRow> rows, long first, List<AuditRecord> records) {
+        TableSnapshot table = TableDiff.apply(new TableSnapshot(first, rows), List.of(), first);
+        for (AuditRecord record : records) {
+            if (record.revision() != table.revision() + 1) {
+                throw new FirwheelException(
+                        ResultCode.TABLE_FIELD, "audit record missing after revision " + table.revision());
+            }
+            table = TableDiff.apply(table, record.changes(), record.revision());
+        }
+        return table;
+    }
+
+    static long revisionOf(List<StoredRow> rows) {
+        return rows.isEmpty()
+                ? 0
+                : RowJson.readValue(rows.get(0).value(), StoredRevision.class).revision();
+    }
+}
