--- /dev/null
+++ b/admission/src/main/java/firwheel/admission/AttemptRecords.java
@@ -0,0 +1,186 @@
+package firwheel.admission;
+
+import firwheel.model.AttemptId;
+import firwheel.model.ResultCode;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Agent's memory of attempts: what runs, what ended, and tombstones of what must never start. Bounded. Not thread-safe.
+ *
+ * <p>An attempt may be admitted only until its {@code admitByMillis}, so a tombstone can go once that has passed. A
+ * record of an attempt that ran can go only after that too, and leaves a watermark: an unknown attempt at or below it may
+ * have run, and is answered as unknown.
+ */
+public final class AttemptRecords {
+    private final RecordLimits limits;
+    private final Map<AttemptId, AttemptRecord> records = new HashMap<>();
+    private final PriorityQueue<AttemptRecord> tombstones =
+            new PriorityQueue<>(Comparator.comparingLong((AttemptRecord record) -> record.admitByMillis));
+    private final ArrayDeque<AttemptRecord> ended = new ArrayDeque<>();
+    private long endedBytes;
+    private long forgottenMillis = Long.MIN_VALUE;
+    private long closedMillis = Long.MIN_VALUE;
+
+    /** Creates an empty memory. */
+    public AttemptRecords(RecordLimits limits) {
+        this.limits = limits;
+    }
+
+    /** Says what is known of an attempt that arrives now. */
+    Arrival arrival(AttemptId id, long admitByMillis, long nowMillis) {
+        if (records.containsKey(id)) {
+            return Arrival.KNOWN;
+        }
+        if (admitByMillis <= forgottenMillis) {
+            return Arrival.FORGOTTEN;
+        }
+        if (admitByMillis < nowMillis) {
+            return Arrival.LATE;
+        }
+        if (admitByMillis <= closedMillis) {
+            return Arrival.NO_ROOM;
+        }
+        evict(nowMillis);
+        if (records.size() >= limits.maxRecords()) {
+            closedMillis = admitByMillis;
+            return Arrival.NO_ROOM;
+        }
+        return Arrival.FRESH;
+    }
+
+    /** Returns the state of a known attempt, or null. */
+    public @Nullable AttemptState state(AttemptId id) {
+        AttemptRecord record = records.get(id);
+        return record == null ? null : record.state;
+    }
+
+    /** Returns the stream of a running or ended attempt, or null. */
+    public @Nullable StreamBuffer stream(AttemptId id) {
+        AttemptRecord record = records.get(id);
+        return record == null ? null : record.stream;
+    }
+
+    void queued(AttemptId id, long admitByMillis) {
+        records.put(id, new AttemptRecord(id, admitByMillis, AttemptState.QUEUED));
+    }
+
+    void running(AttemptId id, long admitByMillis, StreamBuffer stream) {
+        AttemptRecord record = new AttemptRecord(id, admitByMillis, AttemptState.RUNNING);
+        record.stream = stream;
+        records.put(id, record);
+    }
+
+    void ended(AttemptId id, @Nullable ResultCode failure, long nowMillis) {
+        AttemptRecord record = records.get(id);
+        if (record == null || record.state != AttemptState.RUNNING) {
+            return;
+        }
+        record.state = failure == null ? AttemptState.COMPLETED : AttemptState.FAILED;
+        record.failure = failure;
+        record.endedMillis = nowMillis;
+        ended.addLast(record);
+        if (record.stream != null) {
+            record.endedBytes = record.stream.heldBytes();
+            endedBytes += record.endedBytes;
+        }
+        evict(nowMillis);
+    }
+
+    void tombstone(AttemptId id, long admitByMillis) {
+        AttemptRecord record = new AttemptRecord(id, admitByMillis, AttemptState.TOMBSTONE);
+        records.put(id, record);
+        tombstones.add(record);
+    }
+
+    /** Sees to it that an attempt which has not run never will, and says what is known of it. */
+    FenceAnswer fence(AttemptId id, long admitByMillis, long nowMillis) {
+        AttemptRecord record = records.get(id);
+        if (record != null) {
+            return answer(record);
+        }
+        return switch (arrival(id, admitByMillis, nowMillis)) {
+            case FORGOTTEN, NO_ROOM, KNOWN -> new FenceAnswer.Unknown(ResultCode.RECORD_EVICTED);
+            case LATE -> new FenceAnswer.NeverAdmitted();
+            case FRESH -> {
+                tombstone(id, admitByMillis);
+                yield new FenceAnswer.NeverAdmitted();
+            }
+        };
+    }
+
+    /** Drops what need not be remembered any more, and the oldest ended attempts where a bound is passed. */
+    void evict(long nowMillis) {
+        while (!tombstones.isEmpty() && tombstones.peek().admitByMillis < nowMillis) {
+            records.remove(tombstones.remove().id);
+        }
+        discardStreams();
+        Iterator<AttemptRecord> oldestFirst = ended.iterator();
+        while (oldestFirst.hasNext()) {
+            AttemptRecord record = oldestFirst.next();
+            boolean expired =
+                    nowMillis - record.endedMillis > limits.retention().toMillis();
+            boolean needed = !expired && records.size() < limits.maxRecords();
+            if (needed || record.admitByMillis >= nowMillis) {
+                return;
+            }
+            oldestFirst.remove();
+            forget(record);
+        }
+    }
+
+    /** Returns the number of attempts and tombstones remembered. */
+    public int size() {
+        return records.size();
+    }
+
+    private void forget(AttemptRecord record) {
+        records.remove(record.id);
+        endedBytes -= record.endedBytes;
+        forgottenMillis = Math.max(forgottenMillis, record.admitByMillis);
+    }
+
+    private void discardStreams() {
+        Iterator<AttemptRecord> oldestFirst = ended.iterator();
+        while (endedBytes > limits.maxEndedBytes() && oldestFirst.hasNext()) {
+            AttemptRecord record = oldestFirst.next();
+            endedBytes -= record.endedBytes;
+            record.endedBytes = 0;
+            if (record.stream != null) {
+                record.stream.discard();
+            }
+        }
+    }
+
+    private static FenceAnswer answer(AttemptRecord record) {
+        StreamBuffer stream = record.stream;
+        long firstHeld = stream == null ? 0 : stream.firstHeldSequence();
+        long next = stream == null ? 0 : stream.nextSequence();
+        return switch (record.state) {
+            case TOMBSTONE -> new FenceAnswer.NeverAdmitted();
+            case QUEUED, RUNNING -> new FenceAnswer.Running(firstHeld, next);
+            case COMPLETED, FAILED -> new FenceAnswer.Ended(firstHeld, next, record.failure);
+        };
+    }
+
+    private static final class AttemptRecord {
+        private final AttemptId id;
+        private final long admitByMillis;
+        private AttemptState state;
+        private @Nullable StreamBuffer stream;
+        private @Nullable ResultCode failure;
+        private long endedMillis;
+        private long endedBytes;
+
+        private AttemptRecord(AttemptId id, long admitByMillis, AttemptState state) {
+            this.id = id;
+            this.admitByMillis = admitByMillis;
+            this.state = state;
+        }
+    }
+}
--- /dev/null
+++ b/admission/src/main/java/firwheel/admission/ServiceTimes.java
@@ -0,0 +1,33 @@
+package firwheel.admission;
+
+/** Moving averages of recent service times, in milliseconds. Not thread-safe. */
+final class ServiceTimes {
+    private static final int MIN_SAMPLES = 8;
+    private static final double NEW_SAMPLE_SHARE = 0.1;
+
+    private int samples;
+    private double millisPerAttempt;
+    private double millisPerToken;
+
+    void add(long serviceMillis, int tokens) {
+        double perToken = (double) serviceMillis / tokens;
+        if (samples == 0) {
+            millisPerAttempt = serviceMillis;
+            millisPerToken = perToken;
+        } else {
+            millisPerAttempt += NEW_SAMPLE_SHARE * (serviceMillis - millisPerAttempt);
+            millisPerToken += NEW_SAMPLE_SHARE * (perToken - millisPerToken);
+        }
+        samples++;
+    }
+
+    /** Returns the estimated wait behind {@code ahead} attempts on {@code slots} slots; 0 while too little is known. */
+    long waitMillis(int ahead, int slots) {
+        return samples < MIN_SAMPLES ? 0 : Math.round((ahead + 1) * millisPerAttempt / slots);
+    }
+
+    /** Returns the estimated service time of an attempt; 0 while too little is known. */
+    long serviceMillis(int tokens) {
+        return samples < MIN_SAMPLES ? 0 : Math.round(tokens * millisPerToken);
+    }
+}
--- /dev/null
+++ b/admission/src/test/java/firwheel/admission/StreamTest.java
@@ -0,0 +1,67 @@
+package firwheel.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firwheel.model.AttemptId;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+final class StreamTest {
+    private static final AttemptId ATTEMPT = new AttemptId(0, 1);
+    private static final AttemptId OTHER = new AttemptId(0, 2);
+
+    private final StreamBuffer buffer = new StreamBuffer(4);
+    private final StreamAssembler assembler = new StreamAssembler(ATTEMPT);
+
+    @Test
+    void wholeStreamPassesOnceAndInOrder() {
+        StreamChunk first = append("ab");
+        StreamChunk second = append("cd");
+        assertThat(assembler.accept(ATTEMPT, second)).isFalse();
+        assertThat(assembler.accept(OTHER, first)).isFalse();
+        assertThat(assembler.accept(ATTEMPT, first)).isTrue();
+        assertThat(assembler.accept(ATTEMPT, first)).isFalse();
+        assertThat(assembler.accept(ATTEMPT, second)).isTrue();
+        assertThat(assembler.end(ATTEMPT, buffer.finish())).isEqualTo(StreamVerdict.WHOLE);
+        assertThat(assembler.accept(ATTEMPT, second)).isFalse();
+        assertThat(assembler.foreignFrames()).isEqualTo(1);
+        assertThat(assembler.earlyFrames()).isEqualTo(1);
+        assertThat(assembler.doubledFrames()).isEqualTo(2);
+    }
+
+    @Test
+    void anEndBeforeItsChunksAsksForTheRest() {
+        assembler.accept(ATTEMPT, append("ab"));
+        append("cd");
+        assertThat(assembler.end(ATTEMPT, buffer.finish())).isEqualTo(StreamVerdict.MISSING_CHUNKS);
+        assertThat(buffer.from(assembler.nextSequence())).hasSize(1);
+        buffer.from(assembler.nextSequence()).forEach(chunk -> assembler.accept(ATTEMPT, chunk));
+        assertThat(assembler.end(ATTEMPT, buffer.finish())).isEqualTo(StreamVerdict.WHOLE);
+    }
+
+    @Test
+    void aChangedByteIsCorrupt() {
+        append("ab");
+        assembler.accept(ATTEMPT, new StreamChunk(0, bytes("ax")));
+        assertThat(assembler.end(ATTEMPT, buffer.finish())).isEqualTo(StreamVerdict.CORRUPT);
+    }
+
+    @Test
+    void bufferIsBoundedAndForgetsWhatIsAcknowledged() {
+        append("ab");
+        append("cd");
+        assertThat(buffer.full()).isTrue();
+        buffer.acknowledge(1);
+        assertThat(buffer.full()).isFalse();
+        assertThat(buffer.canResumeFrom(0)).isFalse();
+        assertThat(buffer.canResumeFrom(1)).isTrue();
+    }
+
+    private StreamChunk append(String text) {
+        return buffer.append(bytes(text));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/model/src/main/java/firwheel/model/ResultCode.java
+++ b/model/src/main/java/firwheel/model/ResultCode.java
@@ -25,7 +25,8 @@
             2003, Outcome.NOT_RUN, 504, "The deadline passes before the request could run.", "Allow more time."),
     DRAINING(2004, Outcome.NOT_RUN, 503, "The host is shutting down.", "Retry at once; another host will answer."),
     ROW_NOT_SERVING(2005, Outcome.NOT_RUN, 503, "The row is joining or leaving.", "Retry at once."),
-    WRONG_INCARNATION(2006, Outcome.NOT_RUN, 503, "The attempt was meant for an earlier process.", "Retry at once."),
+    WRONG_INCARNATION(
+            2006, Outcome.UNKNOWN, 503, "The attempt was meant for an earlier process.", "Check before repeating."),
     FENCED(2007, Outcome.NOT_RUN, 503, "The attempt was fenced before it was admitted.", "Retry at once."),
     NO_TABLE(2008, Outcome.NOT_RUN, 503, "This host has no table yet.", "Retry after the stated time."),
     RETRY_BUDGET_SPENT(2009, Outcome.NOT_RUN, 503, "The retry budget is spent.", "Retry after the stated time."),
