--- /dev/null
+++ b/admission/src/main/java/firwheel/admission/AttemptLifecycle.java
@@ -0,0 +1,240 @@
+package firwheel.admission;
+
+import firwheel.model.AttemptId;
+import firwheel.model.Outcome;
+import firwheel.model.ResultCode;
+import java.time.Duration;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Entry's decisions for one request, from the first dispatch to its end: each event returns what to do next. A request is
+ * dispatched again only where the earlier attempt provably did not run, or where it is idempotent and a retry is granted.
+ * Not thread-safe.
+ */
+public final class AttemptLifecycle {
+    private static final int MAX_ATTEMPTS = 4;
+    private static final int MAX_FENCES = 8;
+    private static final int MAX_RESUMES = 16;
+    private static final LifecycleAction AWAIT = new LifecycleAction.Await();
+
+    private final RequestTraits traits;
+    private final RetryPermit retries;
+    private final Supplier<AttemptId> ids;
+    private State state = State.NEW;
+    private @Nullable AttemptId current;
+    private int attempts;
+    private int fences;
+    private int resumes;
+    private long received;
+    private boolean delivered;
+    private boolean mayHaveRun;
+
+    /** Creates the lifecycle of one request. */
+    public AttemptLifecycle(RequestTraits traits, RetryPermit retries, Supplier<AttemptId> ids) {
+        this.traits = traits;
+        this.retries = retries;
+        this.ids = ids;
+    }
+
+    /** Starts the first attempt, unless the deadline has passed meanwhile. */
+    public LifecycleAction start(long nowMillis) {
+        if (state != State.NEW) {
+            throw new IllegalStateException("started twice");
+        }
+        return dispatch(nowMillis, false);
+    }
+
+    /** The attempt could not be put on a link, so that no byte of it has left this process. */
+    public LifecycleAction onNotSent(AttemptId attempt, long nowMillis) {
+        return isCurrent(attempt)
+                ? retryNotRun(ResultCode.TARGET_UNREACHABLE, Duration.ofSeconds(1), nowMillis)
+                : AWAIT;
+    }
+
+    /** The agent refused the attempt. */
+    public LifecycleAction onRefused(AttemptId attempt, ResultCode code, Duration retryAfter, long nowMillis) {
+        if (!isCurrent(attempt)) {
+            return AWAIT;
+        }
+        return code.outcome() == Outcome.NOT_RUN ? retryNotRun(code, retryAfter, nowMillis) : lost(nowMillis);
+    }
+
+    /** The link was lost when the attempt may have been on its way. */
+    public LifecycleAction onLinkLost(AttemptId attempt, long nowMillis) {
+        return isCurrent(attempt) ? fence(nowMillis) : AWAIT;
+    }
+
+    /** The fence was not answered in time; it is asked again a bounded number of times. */
+    public LifecycleAction onFenceUnanswered(AttemptId attempt, long nowMillis) {
+        return isCurrent(attempt) && state == State.FENCING ? fence(nowMillis) : AWAIT;
+    }
+
+    /** The agent answered the fence. */
+    public LifecycleAction onFenceAnswer(AttemptId attempt, FenceAnswer answer, long nowMillis) {
+        if (!isCurrent(attempt) || state != State.FENCING) {
+            return AWAIT;
+        }
+        if (answer instanceof FenceAnswer.NeverAdmitted) {
+            return retryNotRun(ResultCode.TARGET_UNREACHABLE, Duration.ofSeconds(1), nowMillis);
+        }
+        if (answer instanceof FenceAnswer.Running running) {
+            return resume(running.firstHeldSequence(), nowMillis);
+        }
+        if (answer instanceof FenceAnswer.Ended ended) {
+            ResultCode failure = ended.failure();
+            return failure == null
+                    ? resume(ended.firstHeldSequence(), nowMillis)
+                    : onFailed(attempt, failure, nowMillis);
+        }
+        return lost(nowMillis);
+    }
+
+    /** The next chunk of the attempt's stream was taken; {@code toCaller} says whether it was passed on. */
+    public void onChunk(AttemptId attempt, boolean toCaller) {
+        if (isCurrent(attempt)) {
+            received++;
+            delivered |= toCaller;
+            fences = 0;
+        }
+    }
+
+    /** The end frame of the attempt's stream was judged. */
+    public LifecycleAction onEnd(AttemptId attempt, StreamVerdict verdict, long nowMillis) {
+        if (!isCurrent(attempt)) {
+            return AWAIT;
+        }
+        return switch (verdict) {
+            case FOREIGN -> AWAIT;
+            case MISSING_CHUNKS -> resume(0, nowMillis);
+            case CORRUPT -> fail(ResultCode.CHECKSUM_MISMATCH, Duration.ZERO);
+            case WHOLE -> {
+                state = State.ENDED;
+                yield new LifecycleAction.Complete();
+            }
+        };
+    }
+
+    /** The attempt ran and failed at its target. */
+    public LifecycleAction onFailed(AttemptId attempt, ResultCode code, long nowMillis) {
+        if (!isCurrent(attempt)) {
+            return AWAIT;
+        }
+        mayHaveRun = true;
+        return traits.idempotent() ? repeat(code, nowMillis) : fail(code, Duration.ZERO);
+    }
+
+    /** The caller's deadline passed. */
+    public LifecycleAction onDeadline() {
+        return switch (state) {
+            case ENDED -> AWAIT;
+            case NEW -> fail(ResultCode.DEADLINE_TOO_SHORT, Duration.ZERO);
+            case RUNNING, FENCING -> {
+                mayHaveRun = true;
+                yield fail(received > 0 ? ResultCode.DEADLINE_PASSED : ResultCode.OUTCOME_UNKNOWN, Duration.ZERO);
+            }
+        };
+    }
+
+    /** The caller has left. */
+    public LifecycleAction onCallerGone() {
+        AttemptId attempt = current;
+        if (state == State.ENDED || attempt == null) {
+            state = State.ENDED;
+            return AWAIT;
+        }
+        state = State.ENDED;
+        return new LifecycleAction.Cancel(attempt);
+    }
+
+    /** Returns whether the request has its final answer. */
+    public boolean ended() {
+        return state == State.ENDED;
+    }
+
+    private boolean isCurrent(AttemptId attempt) {
+        return state != State.ENDED && attempt.equals(current);
+    }
+
+    private LifecycleAction dispatch(long nowMillis, boolean continuation) {
+        if (nowMillis >= traits.deadlineMillis()) {
+            return fail(ResultCode.DEADLINE_TOO_SHORT, Duration.ZERO);
+        }
+        attempts++;
+        fences = 0;
+        resumes = 0;
+        received = 0;
+        state = State.RUNNING;
+        AttemptId attempt = ids.get();
+        current = attempt;
+        return new LifecycleAction.Dispatch(attempt, continuation);
+    }
+
+    private LifecycleAction fence(long nowMillis) {
+        AttemptId attempt = current;
+        if (attempt == null || nowMillis >= traits.deadlineMillis()) {
+            return onDeadline();
+        }
+        if (fences++ >= MAX_FENCES) {
+            return lost(nowMillis);
+        }
+        state = State.FENCING;
+        return new LifecycleAction.Fence(attempt);
+    }
+
+    private LifecycleAction resume(long firstHeldSequence, long nowMillis) {
+        AttemptId attempt = current;
+        if (attempt == null || firstHeldSequence > received || resumes++ >= MAX_RESUMES) {
+            return lost(nowMillis);
+        }
+        state = State.RUNNING;
+        return new LifecycleAction.Resume(attempt, received);
+    }
+
+    private LifecycleAction retryNotRun(ResultCode code, Duration retryAfter, long nowMillis) {
+        if (nowMillis >= traits.deadlineMillis()) {
+            return fail(ResultCode.DEADLINE_TOO_SHORT, Duration.ZERO);
+        }
+        if (attempts >= MAX_ATTEMPTS) {
+            return fail(code, retryAfter);
+        }
+        if (!retries.tryAcquire()) {
+            return fail(code, retryAfter);
+        }
+        return dispatch(nowMillis, delivered);
+    }
+
+    /** The attempt may have run and its answer is out of reach. */
+    private LifecycleAction lost(long nowMillis) {
+        mayHaveRun = true;
+        ResultCode code = received > 0 ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN;
+        return traits.idempotent() ? repeat(code, nowMillis) : fail(code, Duration.ZERO);
+    }
+
+    private LifecycleAction repeat(ResultCode code, long nowMillis) {
+        boolean possible = !delivered || traits.continuable();
+        if (!possible || attempts >= MAX_ATTEMPTS || nowMillis >= traits.deadlineMillis() || !retries.tryAcquire()) {
+            return fail(code, Duration.ZERO);
+        }
+        return dispatch(nowMillis, delivered);
+    }
+
+    /** Ends the request. A code that says not run is replaced where an earlier attempt may have run. */
+    private LifecycleAction fail(ResultCode code, Duration retryAfter) {
+        state = State.ENDED;
+        if (delivered && code.outcome() != Outcome.FAILED) {
+            return new LifecycleAction.Fail(ResultCode.STREAM_BROKEN, retryAfter);
+        }
+        if (mayHaveRun && code.outcome() == Outcome.NOT_RUN) {
+            return new LifecycleAction.Fail(ResultCode.OUTCOME_UNKNOWN, retryAfter);
+        }
+        return new LifecycleAction.Fail(code, retryAfter);
+    }
+
+    private enum State {
+        NEW,
+        RUNNING,
+        FENCING,
+        ENDED
+    }
+}
--- /dev/null
+++ b/admission/src/main/java/firwheel/admission/ClaimRequest.java
@@ -0,0 +1,23 @@
+package firwheel.admission;
+
+import java.time.Instant;
+import java.util.Objects;
+
+/**
+ * A request with an idempotency key.
+ *
+ * @param organisation organisation of the caller
+ * @param service service that is called
+ * @param key idempotency key of the caller
+ * @param bodyDigest digest of method, path and body
+ * @param deadline caller's deadline; tells others only whether to call the request in progress or lost
+ */
+public record ClaimRequest(String organisation, String service, String key, String bodyDigest, Instant deadline) {
+    public ClaimRequest {
+        Objects.requireNonNull(organisation, "organisation");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(bodyDigest, "bodyDigest");
+        Objects.requireNonNull(deadline, "deadline");
+    }
+}
--- /dev/null
+++ b/admission/src/main/java/firwheel/admission/ClaimService.java
@@ -0,0 +1,229 @@
+package firwheel.admission;
+
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import firwheel.model.TimeSource;
+import firwheel.platform.StoredRow;
+import firwheel.platform.TableService;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Claims idempotency keys in the platform's table, so that of all entries only one dispatches a request. A claim is never
+ * taken over by time. A lost answer of the store is settled by reading the claim's token back. All calls and callbacks
+ * run on one executor.
+ */
+public final class ClaimService {
+    /** Largest body that is kept for repeats, in bytes. */
+    public static final int MAX_RECORDED_BYTES = 16 << 10;
+
+    private static final int MAX_TRIES = 4;
+    private static final Duration SETTLE_DELAY = Duration.ofMillis(100);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final TableService table;
+    private final GroupCommitter committer;
+    private final Executor executor;
+    private final DelayedTasks delayedTasks;
+    private final Supplier<String> tokens;
+    private final TimeSource time;
+
+    /** Creates a service; {@code tokens} must never return the same token twice, in any process. */
+    public ClaimService(
+            TableService table,
+            Executor executor,
+            DelayedTasks delayedTasks,
+            Supplier<String> tokens,
+            TimeSource time) {
+        this.table = table;
+        this.committer = new GroupCommitter(table, executor);
+        this.executor = executor;
+        this.delayedTasks = delayedTasks;
+        this.tokens = tokens;
+        this.time = time;
+    }
+
+    /** Claims the key of a request. The future does not fail; a store that is down is a refusal. */
+    public CompletableFuture<ClaimOutcome> claim(ClaimRequest request) {
+        Claim claim = new Claim(rowKey(request), tokens.get(), request);
+        CompletableFuture<ClaimOutcome> outcome = new CompletableFuture<>();
+        insert(claim, outcome, 0);
+        return outcome;
+    }
+
+    /** Keeps the answer of a completed request for repeats; a large one is kept as completed without its body. */
+    public CompletableFuture<Boolean> complete(Claim claim, RecordedAnswer answer) {
+        RecordedAnswer kept = answer.body().length <= MAX_RECORDED_BYTES ? answer : null;
+        return rewrite(claim, row(claim, ClaimRow.State.COMPLETED, kept).toJson());
+    }
+
+    /** Marks a request whose outcome is unknown, or which failed after it ran. */
+    public CompletableFuture<Boolean> abandon(Claim claim) {
+        return rewrite(claim, row(claim, ClaimRow.State.UNRESOLVED, null).toJson());
+    }
+
+    /** Gives up the claim of a request that provably did not run, so that the key can be used again. */
+    public CompletableFuture<Boolean> release(Claim claim) {
+        return rewrite(claim, null);
+    }
+
+    private void insert(Claim claim, CompletableFuture<ClaimOutcome> outcome, int tries) {
+        String open = row(claim, ClaimRow.State.OPEN, null).toJson();
+        CompletableFuture<?> unused = committer.submit(claim.rowKey(), 0, open).whenComplete((written, error) -> {
+            if (written instanceof WriteOutcome.Applied) {
+                outcome.complete(new ClaimOutcome.Claimed(claim));
+            } else if (written instanceof WriteOutcome.Conflicted conflicted) {
+                settle(claim, conflicted.present(), outcome);
+            } else if (tries == 0 && error != null && surelyNotWritten(error)) {
+                outcome.complete(storeDown());
+            } else {
+                readBack(claim, outcome, tries + 1);
+            }
+        });
+    }
+
+    /** Writing the same token again is harmless, whichever of the two writes comes first. */
+    private void readBack(Claim claim, CompletableFuture<ClaimOutcome> outcome, int tries) {
+        if (tries > MAX_TRIES) {
+            outcome.complete(storeDown());
+            later(() -> rewrite(claim, null, new CompletableFuture<>(), 1));
+            return;
+        }
+        CompletableFuture<?> unused = table.read(List.of(claim.rowKey()))
+                .whenCompleteAsync(
+                        (rows, error) -> {
+                            if (rows == null) {
+                                later(() -> readBack(claim, outcome, tries + 1));
+                            } else if (rows.isEmpty()) {
+                                insert(claim, outcome, tries);
+                            } else {
+                                settle(claim, rows.get(0), outcome);
+                            }
+                        },
+                        executor);
+    }
+
+    private void settle(Claim claim, StoredRow present, CompletableFuture<ClaimOutcome> outcome) {
+        try {
+            outcome.complete(outcomeOf(claim, ClaimRow.parse(present.value())));
+        } catch (FirwheelException e) {
+            outcome.complete(new ClaimOutcome.Refused(ResultCode.CLAIM_UNRESOLVED, Duration.ZERO));
+        }
+    }
+
+    private ClaimOutcome outcomeOf(Claim claim, ClaimRow present) {
+        if (present.token().equals(claim.token())) {
+            return new ClaimOutcome.Claimed(claim);
+        }
+        if (!present.digest().equals(claim.request().bodyDigest())) {
+            return new ClaimOutcome.Refused(ResultCode.KEY_REUSED, Duration.ZERO);
+        }
+        return switch (present.state()) {
+            case OPEN -> stillOpen(present);
+            case UNRESOLVED -> new ClaimOutcome.Refused(ResultCode.CLAIM_UNRESOLVED, Duration.ZERO);
+            case COMPLETED -> recorded(present.answer());
+        };
+    }
+
+    private ClaimOutcome stillOpen(ClaimRow present) {
+        boolean inTime = time.now().toEpochMilli() < present.deadlineEpochMillis();
+        return inTime
+                ? new ClaimOutcome.Refused(ResultCode.IN_PROGRESS, RETRY_AFTER)
+                : new ClaimOutcome.Refused(ResultCode.CLAIM_UNRESOLVED, Duration.ZERO);
+    }
+
+    private static ClaimOutcome recorded(@Nullable RecordedAnswer answer) {
+        return answer == null
+                ? new ClaimOutcome.Refused(ResultCode.ANSWER_NOT_KEPT, Duration.ZERO)
+                : new ClaimOutcome.Recorded(answer);
+    }
+
+    /** Replaces the row while it holds the claim's token and is open; returns whether it did. */
+    private CompletableFuture<Boolean> rewrite(Claim claim, @Nullable String value) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        rewrite(claim, value, done, 1);
+        return done;
+    }
+
+    private void rewrite(Claim claim, @Nullable String value, CompletableFuture<Boolean> done, int tries) {
+        if (tries > MAX_TRIES) {
+            done.complete(false);
+            return;
+        }
+        Runnable again = () -> later(() -> rewrite(claim, value, done, tries + 1));
+        CompletableFuture<?> unused = table.read(List.of(claim.rowKey()))
+                .whenCompleteAsync(
+                        (rows, error) -> {
+                            if (rows == null) {
+                                again.run();
+                            } else if (rows.isEmpty()) {
+                                done.complete(value == null);
+                            } else if (rows.get(0).value().equals(value)) {
+                                done.complete(true);
+                            } else if (holdsOpen(rows.get(0), claim)) {
+                                replace(rows.get(0), value, done, again);
+                            } else {
+                                done.complete(false);
+                            }
+                        },
+                        executor);
+    }
+
+    private void replace(StoredRow row, @Nullable String value, CompletableFuture<Boolean> done, Runnable again) {
+        CompletableFuture<?> unused = committer
+                .submit(row.key(), row.version(), value)
+                .whenComplete((written, error) -> {
+                    if (written instanceof WriteOutcome.Applied) {
+                        done.complete(true);
+                    } else {
+                        again.run();
+                    }
+                });
+    }
+
+    private static boolean holdsOpen(StoredRow row, Claim claim) {
+        try {
+            ClaimRow present = ClaimRow.parse(row.value());
+            return present.token().equals(claim.token()) && present.state() == ClaimRow.State.OPEN;
+        } catch (FirwheelException e) {
+            return false;
+        }
+    }
+
+    private void later(Runnable task) {
+        delayedTasks.schedule(SETTLE_DELAY, task);
+    }
+
+    private static boolean surelyNotWritten(Throwable error) {
+        ResultCode code = FirwheelException.of(error).code();
+        return code == ResultCode.PLATFORM_UNREACHABLE || code == ResultCode.PLATFORM_RATE_LIMITED;
+    }
+
+    private static ClaimOutcome storeDown() {
+        return new ClaimOutcome.Refused(ResultCode.CLAIM_STORE_DOWN, RETRY_AFTER);
+    }
+
+    private static ClaimRow row(Claim claim, ClaimRow.State state, @Nullable RecordedAnswer answer) {
+        ClaimRequest request = claim.request();
+        return new ClaimRow(
+                claim.token(), request.bodyDigest(), state, request.deadline().toEpochMilli(), answer);
+    }
+
+    private static String rowKey(ClaimRequest request) {
+        String name = request.organisation() + "\n" + request.service() + "\n" + request.key();
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(name.getBytes(StandardCharsets.UTF_8));
+            return "claims/" + HexFormat.of().formatHex(digest);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/admission/src/main/java/firwheel/admission/DelayedTasks.java
@@ -0,0 +1,10 @@
+package firwheel.admission;
+
+import java.time.Duration;
+
+/** Runs tasks later, on the thread of whoever schedules them. */
+@FunctionalInterface
+public interface DelayedTasks {
+    /** Runs {@code task} after {@code delay}. */
+    void schedule(Duration delay, Runnable task);
+}
--- /dev/null
+++ b/admission/src/main/java/firwheel/admission/WriteOutcome.java
@@ -0,0 +1,12 @@
+package firwheel.admission;
+
+import firwheel.platform.StoredRow;
+
+/** What became of one conditional write of a group. */
+sealed interface WriteOutcome {
+    /** The write took effect. */
+    record Applied() implements WriteOutcome {}
+
+    /** The condition failed; {@code present} is the row that is there. */
+    record Conflicted(StoredRow present) implements WriteOutcome {}
+}
--- /dev/null
+++ b/admission/src/test/java/firwheel/admission/AttemptLifecycleTest.java
@@ -0,0 +1,97 @@
+package firwheel.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firwheel.model.AttemptId;
+import firwheel.model.ResultCode;
+import java.time.Duration;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class AttemptLifecycleTest {
+    private static final AttemptId FIRST = new AttemptId(0, 1);
+    private static final AttemptId SECOND = new AttemptId(0, 2);
+    private static final FenceAnswer UNKNOWN = new FenceAnswer.Unknown(ResultCode.OUTCOME_UNKNOWN);
+
+    private long nextId = 1;
+
+    @Nested
+    final class NonIdempotent {
+        private final AttemptLifecycle lifecycle = started(false, false);
+
+        @Test
+        void goesElsewhereOnlyWhereItProvablyDidNotRun() {
+            assertThat(lifecycle.onLinkLost(FIRST, 1)).isEqualTo(new LifecycleAction.Fence(FIRST));
+            assertThat(lifecycle.onFenceAnswer(FIRST, new FenceAnswer.NeverAdmitted(), 2))
+                    .isEqualTo(new LifecycleAction.Dispatch(SECOND, false));
+        }
+
+        @Test
+        void isUnknownWhereTheAgentCannotTell() {
+            lifecycle.onLinkLost(FIRST, 1);
+            assertThat(codeOf(lifecycle.onFenceAnswer(FIRST, UNKNOWN, 2))).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+        }
+
+        @Test
+        void fetchesTheTailOfWhatCompleted() {
+            lifecycle.onChunk(FIRST, true);
+            lifecycle.onLinkLost(FIRST, 1);
+            assertThat(lifecycle.onFenceAnswer(FIRST, new FenceAnswer.Ended(1, 3, null), 2))
+                    .isEqualTo(new LifecycleAction.Resume(FIRST, 1));
+        }
+
+        @Test
+        void isUnknownWhenTheDeadlinePassesAfterDispatch() {
+            assertThat(codeOf(lifecycle.onDeadline())).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+        }
+    }
+
+    @Nested
+    final class Idempotent {
+        @Test
+        void continuesElsewhereWhereTheEngineCan() {
+            AttemptLifecycle lifecycle = started(true, true);
+            lifecycle.onChunk(FIRST, true);
+            lifecycle.onLinkLost(FIRST, 1);
+            assertThat(lifecycle.onFenceAnswer(FIRST, UNKNOWN, 2))
+                    .isEqualTo(new LifecycleAction.Dispatch(SECOND, true));
+        }
+
+        @Test
+        void failsOpenlyWhereTheEngineCannotContinue() {
+            AttemptLifecycle lifecycle = started(true, false);
+            lifecycle.onChunk(FIRST, true);
+            lifecycle.onLinkLost(FIRST, 1);
+            assertThat(codeOf(lifecycle.onFenceAnswer(FIRST, UNKNOWN, 2))).isEqualTo(ResultCode.STREAM_BROKEN);
+        }
+
+        @Test
+        void doesNotSayNotRunAfterAnAttemptThatMayHaveRun() {
+            AttemptLifecycle lifecycle = started(true, false);
+            lifecycle.onFailed(FIRST, ResultCode.ENGINE_ERROR, 1);
+            LifecycleAction last = lifecycle.onRefused(SECOND, ResultCode.SATURATED, Duration.ZERO, 100_000);
+            assertThat(codeOf(last)).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
+        }
+    }
+
+    @Test
+    void aProcessThatWakesAfterTheDeadlineDoesNotDispatch() {
+        AttemptLifecycle lifecycle = lifecycle(false, false);
+        assertThat(codeOf(lifecycle.start(60_000))).isEqualTo(ResultCode.DEADLINE_TOO_SHORT);
+    }
+
+    private AttemptLifecycle started(boolean idempotent, boolean continuable) {
+        AttemptLifecycle lifecycle = lifecycle(idempotent, continuable);
+        assertThat(lifecycle.start(0)).isEqualTo(new LifecycleAction.Dispatch(FIRST, false));
+        return lifecycle;
+    }
+
+    private AttemptLifecycle lifecycle(boolean idempotent, boolean continuable) {
+        RequestTraits traits = new RequestTraits(idempotent, continuable, 60_000);
+        return new AttemptLifecycle(traits, () -> true, () -> new AttemptId(0, nextId++));
+    }
+
+    private static ResultCode codeOf(LifecycleAction action) {
+        return ((LifecycleAction.Fail) action).code();
+    }
+}
--- a/admission/src/test/java/firwheel/admission/FairShareTest.java
+++ b/admission/src/test/java/firwheel/admission/FairShareTest.java
@@ -24,7 +24,6 @@
     void burstsOfASmallOrganisationWaitAtMostTwiceAsLongAsAlone(int burst) {
         long alone = new Run(burst, 0, 1).p95WaitMillis();
         long flooded = new Run(burst, 240, 1).p95WaitMillis();
-        System.out.printf("burst %d: p95 wait alone %d ms, flooded %d ms%n", burst, alone, flooded);
         assertThat(flooded).isLessThanOrEqualTo(2 * alone);
     }
 
@@ -33,7 +32,6 @@
     void sparseRequestsOfASmallOrganisationAreAnsweredWithinTwiceTheTimeAlone(int burst) {
         long alone = new Run(burst, 0, 2).p95WaitMillis() + SERVICE_MILLIS;
         long flooded = new Run(burst, 240, 2).p95WaitMillis() + SERVICE_MILLIS;
-        System.out.printf("sparse %d: p95 time alone %d ms, flooded %d ms%n", burst, alone, flooded);
         assertThat(flooded).isLessThanOrEqualTo(2 * alone);
     }
 
--- /dev/null
+++ b/admission/src/test/java/firwheel/admission/FaultWorld.java
@@ -0,0 +1,118 @@
+package firwheel.admission;
+
+import firwheel.model.AttemptId;
+import firwheel.model.ManualTimeSource;
+import firwheel.model.ResultCode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** Events on virtual time, the faults of one seed, and what callers were told and services did. */
+final class FaultWorld {
+    private static final int MAX_FAULTS = 3;
+
+    /** Faults that a seed can combine. */
+    enum Fault {
+        LINK_LOSS,
+        AGENT_RESTART,
+        ENTRY_KILL,
+        ENTRY_PAUSE,
+        STORE_ANSWER_LOST,
+        STORE_DOWN,
+        FRAMES_LATE_DOUBLED_FOREIGN,
+        ENGINE_FAILURE,
+        SMALL_MEMORY
+    }
+
+    /** Deliberate errors that the oracles must find. */
+    enum Mutation {
+        NONE,
+        TOMBSTONES_IGNORED,
+        CLAIM_TAKEN_OVER,
+        UNKNOWN_RETRIED,
+        CHUNKS_UNCHECKED,
+        FORGOTTEN_TAKEN_AS_NOT_RUN,
+        OTHER_INCARNATION_TAKEN_AS_NOT_RUN
+    }
+
+    /** One request; {@code subject} is what must be booked at most once. */
+    record Request(int number, String subject, boolean keyed, boolean idempotent, int chunks, long deadlineMillis) {
+        String chunk(int index) {
+            return subject + ":" + index + ";";
+        }
+
+        String wholeAnswer() {
+            StringBuilder answer = new StringBuilder();
+            for (int i = 0; i < chunks; i++) {
+                answer.append(chunk(i));
+            }
+            return answer.toString();
+        }
+    }
+
+    /** Final answer to a request; {@code code} is null for a whole answer. */
+    record Told(Request request, @Nullable ResultCode code, String bytes) {}
+
+    private record Event(long atMillis, long order, Runnable task) {}
+
+    final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
+    final SplittableRandom random;
+    final Mutation mutation;
+    final Set<Fault> faults = EnumSet.noneOf(Fault.class);
+    final List<Request> ledger = new ArrayList<>();
+    final List<Told> told = new ArrayList<>();
+    final TreeMap<String, Integer> seen = new TreeMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
+    private long nextOrder;
+
+    FaultWorld(long seed, Mutation mutation) {
+        this.random = new SplittableRandom(seed);
+        this.mutation = mutation;
+        Fault[] all = Fault.values();
+        int count = random.nextInt(MAX_FAULTS + 1);
+        for (int i = 0; i < count; i++) {
+            faults.add(all[random.nextInt(all.length)]);
+        }
+    }
+
+    long nowMillis() {
+        return time.monotonicMillis();
+    }
+
+    boolean has(Fault fault, double probability) {
+        return faults.contains(fault) && random.nextDouble() < probability;
+    }
+
+    long between(long low, long high) {
+        return random.nextLong(low, high + 1);
+    }
+
+    AttemptId newAttemptId() {
+        return AttemptId.random(random);
+    }
+
+    void saw(String what) {
+        seen.merge(what, 1, Integer::sum);
+    }
+
+    void after(long millis, Runnable task) {
+        events.add(new Event(nowMillis() + millis, nextOrder++, task));
+    }
+
+    void runUntil(long endMillis) {
+        while (!events.isEmpty() && events.peek().atMillis() <= endMillis) {
+            Event event = events.remove();
+            time.advance(Duration.ofMillis(event.atMillis() - nowMillis()));
+            event.task().run();
+        }
+    }
+}
--- a/model/src/main/java/firwheel/model/ResultCode.java
+++ b/model/src/main/java/firwheel/model/ResultCode.java
@@ -40,6 +40,12 @@
     OUTCOME_UNKNOWN(3001, Outcome.UNKNOWN, 502, "The target was lost after dispatch.", "Check before repeating."),
     RECORD_EVICTED(3002, Outcome.UNKNOWN, 502, "The target no longer knows the attempt.", "Check before repeating."),
     CLAIM_UNRESOLVED(3003, Outcome.UNKNOWN, 409, "An earlier request with this key was lost.", "Check the service."),
+    ANSWER_NOT_KEPT(
+            3004,
+            Outcome.UNKNOWN,
+            409,
+            "A request with this key completed; its answer was not kept.",
+            "Check the service."),
 
     STREAM_BROKEN(4001, Outcome.FAILED, 502, "The answer broke off.", "Send the request again."),
     ENGINE_ERROR(4002, Outcome.FAILED, 502, "The engine failed while running the request.", "Send it again."),
