Framed MessagePack links with mutual authentication

Cause: entry and agent need a link. Change: messages as records encoded by jackson-dataformat-msgpack as arrays behind a type number, 4-byte length frames by Vert.x RecordParser, HMAC over both nonces before any message. Measured: codec tests (5) pass, among them added trailing fields and unknown types.

--- a/model/src/main/java/firwheel/model/Events.java
+++ b/model/src/main/java/firwheel/model/Events.java
@@ -1,5 +1,6 @@
 package firwheel.model;
 
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.event.Level;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -9,7 +10,7 @@
     private Events() {}
 
     /** Logs {@code event} with alternating keys and values. */
-    public static void log(Logger logger, EventCode event, Object... keysAndValues) {
+    public static void log(Logger logger, EventCode event, @Nullable Object... keysAndValues) {
         LoggingEventBuilder builder =
                 logger.atLevel(Level.valueOf(event.severity().name())).addKeyValue("event", event.label());
         for (int i = 0; i + 1 < keysAndValues.length; i += 2) {
--- /dev/null
+++ b/wire/src/main/java/firwheel/wire/Link.java
@@ -0,0 +1,170 @@
+package firwheel.wire;
+
+import firwheel.model.EventCode;
+import firwheel.model.Events;
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One authenticated TCP connection between two firwheel processes. Frames have a 4-byte length. All methods are called
+ * on the event loop of the socket.
+ */
+public final class Link {
+    /** Protocol version; ends with different major versions do not talk. */
+    public static final int MAJOR_VERSION = 1;
+    /** Newer minor versions only add fields and message types. */
+    public static final int MINOR_VERSION = 0;
+    /** Largest frame after authentication, in bytes. */
+    public static final int MAX_FRAME_BYTES = 17 * 1024 * 1024;
+
+    private static final int MAX_HANDSHAKE_FRAME_BYTES = 4 * 1024;
+    private static final int LENGTH_BYTES = 4;
+    private static final long HANDSHAKE_TIMEOUT_MILLIS = 3_000;
+    private static final Logger logger = LoggerFactory.getLogger(Link.class);
+
+    private final NetSocket socket;
+    private final MessageCodec codec;
+    private final Handshake handshake;
+    private final RecordParser parser;
+    private final CompletableFuture<Link> established = new CompletableFuture<>();
+    private Consumer<Message> messageHandler = message -> {};
+    private Runnable closeHandler = () -> {};
+    private boolean readingLength = true;
+    private boolean closed;
+
+    private Link(Vertx vertx, NetSocket socket, MessageCodec codec, Handshake handshake) {
+        this.socket = socket;
+        this.codec = codec;
+        this.handshake = handshake;
+        parser = RecordParser.newFixed(LENGTH_BYTES, this::onRecord);
+        long timer = vertx.setTimer(HANDSHAKE_TIMEOUT_MILLIS, id -> {
+            if (!handshake.complete()) {
+                reject(new FirwheelException(ResultCode.LINK_UNAUTHENTICATED, "no handshake in time"));
+            }
+        });
+        socket.handler(parser);
+        socket.exceptionHandler(error -> socket.close());
+        socket.closeHandler(ignored -> {
+            vertx.cancelTimer(timer);
+            onClosed();
+        });
+    }
+
+    /** Starts the handshake on a connected socket; the future completes when the peer is authenticated. */
+    static CompletableFuture<Link> establish(
+            Vertx vertx, NetSocket socket, MessageCodec codec, SharedKey key, LinkIdentity self, boolean initiator) {
+        Link link = new Link(vertx, socket, codec, new Handshake(key, self, initiator));
+        link.write(link.handshake.hello());
+        return link.established;
+    }
+
+    /** Returns how the peer named itself. */
+    public LinkMessage.Hello peer() {
+        return handshake.peer();
+    }
+
+    /** Sets the receiver of messages. */
+    public void onMessage(Consumer<Message> handler) {
+        messageHandler = handler;
+    }
+
+    /** Sets what runs once when the link is gone. */
+    public void onClose(Runnable handler) {
+        closeHandler = handler;
+        if (closed) {
+            handler.run();
+        }
+    }
+
+    /** Sends a message; a message on a closed link is dropped, and the close handler tells of the loss. */
+    public void send(Message message) {
+        if (!closed) {
+            write(message);
+        }
+    }
+
+    /** Returns whether the socket takes no more for now. */
+    public boolean writeQueueFull() {
+        return socket.writeQueueFull();
+    }
+
+    /** Returns whether the link is gone. */
+    public boolean isClosed() {
+        return closed;
+    }
+
+    /** Closes the link. */
+    public void close() {
+        socket.close();
+    }
+
+    private void write(Message message) {
+        byte[] frame = codec.encode(message);
+        socket.write(Buffer.buffer(LENGTH_BYTES + frame.length)
+                .appendInt(frame.length)
+                .appendBytes(frame));
+    }
+
+    private void onRecord(Buffer record) {
+        if (closed) {
+            return;
+        }
+        try {
+            if (readingLength) {
+                onLength(record.getInt(0));
+            } else {
+                readingLength = true;
+                parser.fixedSizeMode(LENGTH_BYTES);
+                onMessageBytes(record.getBytes());
+            }
+        } catch (FirwheelException e) {
+            reject(e);
+        }
+    }
+
+    private void onLength(int frameBytes) {
+        int limit = handshake.complete() ? MAX_FRAME_BYTES : MAX_HANDSHAKE_FRAME_BYTES;
+        if (frameBytes < 1 || frameBytes > limit) {
+            throw new FirwheelException(ResultCode.BAD_FRAME, "frame of " + frameBytes + " bytes, limit " + limit);
+        }
+        readingLength = false;
+        parser.fixedSizeMode(frameBytes);
+    }
+
+    private void onMessageBytes(byte[] frame) {
+        Message message = codec.decode(frame);
+        if (handshake.complete()) {
+            messageHandler.accept(message);
+        } else if (message instanceof LinkMessage.Hello hello) {
+            write(handshake.onHello(hello));
+        } else if (message instanceof LinkMessage.Proof proof) {
+            handshake.onProof(proof);
+            established.complete(this);
+        } else {
+            throw new FirwheelException(ResultCode.LINK_UNAUTHENTICATED, "message before authentication");
+        }
+    }
+
+    private void reject(FirwheelException reason) {
+        Events.log(logger, EventCode.LINK_REFUSED, "peer", socket.remoteAddress(), "reason", reason.getMessage());
+        established.completeExceptionally(reason);
+        socket.close();
+    }
+
+    private void onClosed() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        established.completeExceptionally(new FirwheelException(ResultCode.LINK_LOST, "closed during handshake"));
+        closeHandler.run();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/firwheel/wire/MessageCodec.java
@@ -0,0 +1,66 @@
+package firwheel.wire;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.model.AttemptId;
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Turns messages into MessagePack and back: one positive fixint with the message type, then an array with the fields in
+ * the order of the record. Trailing fields of a newer version are ignored; fields that an older version lacks become
+ * zero, false or null.
+ */
+public final class MessageCodec {
+    private static final int MAX_TYPE_NUMBER = 127;
+
+    private final ObjectMapper mapper;
+
+    /** Creates a codec for all message types. */
+    public MessageCodec() {
+        mapper = new ObjectMapper(new MessagePackFactory());
+        mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        JsonFormat.Value asArray = JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
+        for (MessageType type : MessageType.values()) {
+            mapper.configOverride(type.messageClass()).setFormat(asArray);
+        }
+        mapper.configOverride(AttemptId.class).setFormat(asArray);
+    }
+
+    /** Encodes a message without its length prefix. */
+    public byte[] encode(Message message) {
+        try {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            out.write(MessageType.of(message).number());
+            out.writeBytes(mapper.writeValueAsBytes(message));
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Decodes one message; fails with {@code FW-7003} when it is malformed. */
+    public Message decode(byte[] frame) {
+        if (frame.length < 2 || frame[0] < 0) {
+            throw new FirwheelException(ResultCode.BAD_FRAME, "frame without a type number up to " + MAX_TYPE_NUMBER);
+        }
+        MessageType type = MessageType.ofNumber(frame[0]);
+        if (type == null) {
+            return new UnknownMessage(frame[0]);
+        }
+        try {
+            Message message = mapper.readValue(frame, 1, frame.length - 1, type.messageClass());
+            if (message == null) {
+                throw new FirwheelException(ResultCode.BAD_FRAME, "empty " + type);
+            }
+            return message;
+        } catch (IOException | IllegalArgumentException e) {
+            throw new FirwheelException(ResultCode.BAD_FRAME, "cannot read " + type, java.time.Duration.ZERO, e);
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/firwheel/wire/MessageCodecTest.java
@@ -0,0 +1,63 @@
+package firwheel.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import firwheel.model.AttemptId;
+import firwheel.model.FirwheelException;
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class MessageCodecTest {
+    private final MessageCodec codec = new MessageCodec();
+    private final AttemptId attempt = AttemptId.random(new SplittableRandom(1));
+
+    @Nested
+    final class RoundTrip {
+        @Test
+        void keepsEveryFieldOfAChunk() {
+            AttemptMessage.Chunk chunk = new AttemptMessage.Chunk(attempt, 7, new byte[] {1, 2, -3});
+
+            assertThat(codec.decode(codec.encode(chunk)))
+                    .usingRecursiveComparison()
+                    .isEqualTo(chunk);
+        }
+
+        @Test
+        void keepsEveryFieldOfADispatch() {
+            AttemptMessage.Dispatch dispatch = new AttemptMessage.Dispatch(
+                    attempt, -5, "row", 3, "org", 1, true, "POST", "/v1", "json", "", new byte[] {9}, 100, 20, 4);
+
+            assertThat(codec.decode(codec.encode(dispatch)))
+                    .usingRecursiveComparison()
+                    .isEqualTo(dispatch);
+        }
+    }
+
+    @Nested
+    final class OtherVersions {
+        @Test
+        void ignoresFieldsThatANewerVersionAdds() {
+            byte[] frame = codec.encode(new LoadMessage.Probe(5));
+            byte[] longer = Arrays.copyOf(frame, frame.length + 1);
+            longer[1] = (byte) (frame[1] + 1);
+            longer[frame.length] = 42;
+
+            assertThat(codec.decode(longer)).isEqualTo(new LoadMessage.Probe(5));
+        }
+
+        @Test
+        void returnsUnknownTypesAsSuch() {
+            assertThat(codec.decode(new byte[] {99, (byte) 0x90})).isEqualTo(new UnknownMessage(99));
+        }
+    }
+
+    @Test
+    void refusesGarbage() {
+        assertThatThrownBy(() -> codec.decode(new byte[] {13, 1, 2, 3}))
+                .isInstanceOf(FirwheelException.class)
+                .hasMessageContaining("FW-7003");
+    }
+}
