Thin entry, agent, stand-ins and HTTP platform client

Cause: the whole path must run before its parts grow. Change: entry (HTTP and event streams, retry only of what did not run or may repeat), agent (streams cut at events, terminating event required), stand-in engine, service and platform, HTTP platform client, admin server.

--- /dev/null
+++ b/entry/src/main/java/firwheel/entry/CallerHandler.java
@@ -0,0 +1,147 @@
+package firwheel.entry;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Takes HTTP requests from callers, reads their bodies within limits and hands the checked request on. */
+final class CallerHandler {
+    private static final int OK = 200;
+    private static final Duration RETRY_AFTER_NO_TABLE = Duration.ofSeconds(1);
+
+    private final Vertx vertx;
+    private final EntrySettings settings;
+    private final Supplier<TableSnapshot> table;
+    private final BiConsumer<CallerRequest, AnswerWriter> runner;
+    private final BooleanSupplier draining;
+    private final EntryMetrics metrics;
+    private final CallerRequestReader reader = new CallerRequestReader();
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    CallerHandler(
+            Vertx vertx,
+            EntrySettings settings,
+            Supplier<TableSnapshot> table,
+            BiConsumer<CallerRequest, AnswerWriter> runner,
+            BooleanSupplier draining,
+            EntryMetrics metrics) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.table = table;
+        this.runner = runner;
+        this.draining = draining;
+        this.metrics = metrics;
+    }
+
+    /** Handles one request; every path ends in an answer. */
+    void handle(HttpServerRequest request) {
+        String requestId = CallerRequestReader.requestId(request);
+        AnswerWriter answer = new AnswerWriter(request, requestId, metrics);
+        if (request.path().equals("/v1/models")) {
+            answerModels(request, answer);
+        } else if (request.path().equals("/v1/chat/completions")
+                || request.path().equals("/v1/completions")) {
+            requireMethod(
+                    request,
+                    answer,
+                    HttpMethod.POST,
+                    () -> readBody(
+                            request,
+                            answer,
+                            body -> accept(answer, () -> reader.readCompletion(request, requestId, body))));
+        } else if (request.path().startsWith(CallerRequestReader.SERVICES_PREFIX)) {
+            readBody(request, answer, body -> accept(answer, () -> reader.readServiceCall(request, requestId, body)));
+        } else {
+            answer.error(new FirwheelException(ResultCode.UNKNOWN_PATH, "no such path"));
+        }
+    }
+
+    private void answerModels(HttpServerRequest request, AnswerWriter answer) {
+        requireMethod(request, answer, HttpMethod.GET, () -> {
+            ObjectNode root = mapper.createObjectNode().put("object", "list");
+            ArrayNode data = root.putArray("data");
+            table.get().rows().stream()
+                    .filter(row -> row.kind() == TargetKind.MODEL)
+                    .flatMap(row -> row.models().stream())
+                    .distinct()
+                    .sorted()
+                    .forEach(model -> data.addObject().put("id", model).put("object", "model"));
+            answer.whole(OK, "application/json", Buffer.buffer(root.toString()));
+        });
+    }
+
+    private static void requireMethod(
+            HttpServerRequest request, AnswerWriter answer, HttpMethod method, Runnable action) {
+        if (request.method().equals(method)) {
+            action.run();
+        } else {
+            answer.error(new FirwheelException(ResultCode.METHOD_NOT_ALLOWED, "use " + method.name()));
+        }
+    }
+
+    private void readBody(HttpServerRequest request, AnswerWriter answer, Consumer<Buffer> whole) {
+        Buffer body = Buffer.buffer();
+        long timer = vertx.setTimer(settings.bodyTimeoutMillis(), ignored -> {
+            answer.error(new FirwheelException(ResultCode.REQUEST_TIMEOUT, "the body did not arrive in time"));
+            request.connection().close();
+        });
+        request.handler(piece -> {
+            if (answer.isOver()) {
+                return;
+            }
+            if (body.length() + piece.length() > settings.maxBodyBytes()) {
+                vertx.cancelTimer(timer);
+                answer.error(new FirwheelException(
+                        ResultCode.BODY_TOO_LARGE, "the limit is " + settings.maxBodyBytes() + " bytes"));
+                return;
+            }
+            body.appendBuffer(piece);
+        });
+        request.exceptionHandler(error -> vertx.cancelTimer(timer));
+        request.endHandler(ignored -> {
+            vertx.cancelTimer(timer);
+            if (!answer.isOver()) {
+                whole.accept(body);
+            }
+        });
+    }
+
+    private void accept(AnswerWriter answer, Supplier<CallerRequest> read) {
+        try {
+            CallerRequest request = read.get();
+            checkServed(request);
+            runner.accept(request, answer);
+        } catch (FirwheelException e) {
+            answer.error(e);
+        }
+    }
+
+    private void checkServed(CallerRequest request) {
+        if (draining.getAsBoolean()) {
+            throw new FirwheelException(ResultCode.DRAINING, "this host is shutting down");
+        }
+        TableSnapshot snapshot = table.get();
+        if (snapshot.revision() == 0) {
+            throw new FirwheelException(ResultCode.NO_TABLE, "no table yet", RETRY_AFTER_NO_TABLE);
+        }
+        boolean served = snapshot.rows().stream().anyMatch(row -> row.serves(request.kind(), request.servedName()));
+        if (!served) {
+            throw new FirwheelException(
+                    request.kind() == TargetKind.MODEL ? ResultCode.UNKNOWN_MODEL : ResultCode.UNKNOWN_SERVICE,
+                    request.servedName());
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/firwheel/entry/EntryMetrics.java
@@ -0,0 +1,31 @@
+package firwheel.entry;
+
+import firwheel.model.Outcome;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Metrics of one entry. */
+final class EntryMetrics {
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter answers = Counter.builder()
+            .name("firwheel_entry_answers_total")
+            .help("Answers to callers, by outcome and code")
+            .labelNames("outcome", "code")
+            .register(registry);
+    private final Counter foreignFrames = Counter.builder()
+            .name("firwheel_entry_foreign_frames_total")
+            .help("Frames dropped because no open attempt asked for them")
+            .register(registry);
+
+    PrometheusRegistry registry() {
+        return registry;
+    }
+
+    void countAnswer(Outcome outcome, String code) {
+        answers.labelValues(outcome.label(), code).inc();
+    }
+
+    void countForeignFrame() {
+        foreignFrames.inc();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -0,0 +1,185 @@
+package firwheel.entry;
+
+import firwheel.admin.AdminServer;
+import firwheel.model.EventCode;
+import firwheel.model.Events;
+import firwheel.model.FirwheelException;
+import firwheel.model.Futures;
+import firwheel.model.RankKey;
+import firwheel.model.ResultCode;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TimeSource;
+import firwheel.routing.RankLoad;
+import firwheel.routing.RoutingPolicy;
+import firwheel.routing.RoutingView;
+import firwheel.wire.LinkEndpoint;
+import firwheel.wire.LinkIdentity;
+import firwheel.wire.SharedKey;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The process that takes requests from callers. One event loop carries its traffic. */
+public final class EntryServer {
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+    private static final int IDLE_CONNECTION_SECONDS = 900;
+    private static final Logger logger = LoggerFactory.getLogger(EntryServer.class);
+
+    private final Vertx vertx;
+    private final Context context;
+    private final EntrySettings settings;
+    private final Supplier<TableSnapshot> table;
+    private final RoutingPolicy policy;
+    private final TimeSource time = TimeSource.system();
+    private final EntryMetrics metrics = new EntryMetrics();
+    private final SplittableRandom random = new SplittableRandom();
+    private final long incarnation = random.nextLong();
+    private final Set<RequestRun> running = new HashSet<>();
+    private @Nullable AgentLinks links;
+    private @Nullable HttpServer callerServer;
+    private @Nullable HttpServer adminServer;
+    private boolean draining;
+    private @Nullable CompletableFuture<Void> drained;
+
+    private EntryServer(Vertx vertx, EntrySettings settings, Supplier<TableSnapshot> table, RoutingPolicy policy) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.table = table;
+        this.policy = policy;
+        context = vertx.getOrCreateContext();
+    }
+
+    /** Starts an entry; the future completes when it listens. */
+    public static CompletableFuture<EntryServer> start(
+            Vertx vertx, EntrySettings settings, Supplier<TableSnapshot> table, RoutingPolicy policy) {
+        EntryServer entry = new EntryServer(vertx, settings, table, policy);
+        CompletableFuture<EntryServer> started = new CompletableFuture<>();
+        entry.context.runOnContext(ignored -> Futures.forward(entry.listen().thenApply(done -> entry), started));
+        return started;
+    }
+
+    /** Returns the port for callers. */
+    public int port() {
+        return callerServer == null ? settings.port() : callerServer.actualPort();
+    }
+
+    /** Returns the port of metrics, health and status. */
+    public int adminPort() {
+        return adminServer == null ? settings.adminPort() : adminServer.actualPort();
+    }
+
+    /** Refuses new requests; the future completes when running ones have ended or the drain limit has passed. */
+    public CompletableFuture<Void> drain() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        context.runOnContext(ignored -> {
+            Events.log(logger, EventCode.PROCESS_DRAINING, "role", "entry", "running", running.size());
+            draining = true;
+            drained = done;
+            vertx.setTimer(Math.max(1, settings.drainLimitMillis()), timer -> cutRemaining());
+            completeDrain();
+        });
+        return done;
+    }
+
+    private CompletableFuture<?> listen() {
+        LinkIdentity identity = new LinkIdentity(
+                settings.ip() + ":" + settings.port(), settings.availabilityZone(), "entry", incarnation);
+        LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
+        links = new AgentLinks(endpoint, report -> {}, metrics::countForeignFrame);
+        CallerHandler handler = new CallerHandler(vertx, settings, table, this::run, () -> draining, metrics);
+        AdminServer admin = new AdminServer(metrics.registry(), this::ready, this::status);
+        return vertx.createHttpServer(serverOptions())
+                .requestHandler(handler::handle)
+                .listen(settings.port(), settings.ip())
+                .toCompletionStage()
+                .toCompletableFuture()
+                .thenCompose(server -> {
+                    callerServer = server;
+                    return admin.listen(vertx, settings.ip(), settings.adminPort());
+                })
+                .thenAccept(server -> {
+                    adminServer = server;
+                    Events.log(logger, EventCode.PROCESS_STARTED, "role", "entry", "port", port());
+                });
+    }
+
+    private static HttpServerOptions serverOptions() {
+        return new HttpServerOptions()
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setIdleTimeout(IDLE_CONNECTION_SECONDS)
+                .setTcpNoDelay(true);
+    }
+
+    private void run(CallerRequest request, AnswerWriter answer) {
+        if (links == null) {
+            throw new IllegalStateException("not listening");
+        }
+        RequestRun[] self = new RequestRun[1];
+        RequestRun run = new RequestRun(request, answer, links, policy, view(), time, random, () -> onOver(self[0]));
+        self[0] = run;
+        running.add(run);
+        run.start();
+    }
+
+    private RoutingView view() {
+        TableSnapshot snapshot = table.get();
+        long nowNanos = time.monotonicNanos();
+        return new RoutingView() {
+            @Override
+            public TableSnapshot table() {
+                return snapshot;
+            }
+
+            @Override
+            public RankLoad load(RankKey key) {
+                return RankLoad.UNKNOWN;
+            }
+
+            @Override
+            public String ownZone() {
+                return settings.availabilityZone();
+            }
+
+            @Override
+            public long nowNanos() {
+                return nowNanos;
+            }
+        };
+    }
+
+    private boolean ready() {
+        return !draining && table.get().revision() > 0;
+    }
+
+    private EntryStatus status() {
+        return new EntryStatus("entry", settings.availabilityZone(), table.get().revision(), running.size(), draining);
+    }
+
+    private void onOver(RequestRun run) {
+        running.remove(run);
+        completeDrain();
+    }
+
+    private void completeDrain() {
+        if (draining && running.isEmpty() && drained != null) {
+            drained.complete(null);
+        }
+    }
+
+    private void cutRemaining() {
+        if (!running.isEmpty()) {
+            Events.log(logger, EventCode.DRAIN_CUT, "running", running.size());
+        }
+        Set.copyOf(running)
+                .forEach(run -> run.abort(new FirwheelException(ResultCode.DRAIN_LIMIT, "the entry stopped")));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/firwheel/standin/CompletionJson.java
@@ -0,0 +1,51 @@
+package firwheel.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+
+/** Writes answers in the published shape of the OpenAI completion interfaces. */
+final class CompletionJson {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final boolean chat;
+    private final String model;
+    private final String id;
+
+    CompletionJson(boolean chat, String model, String id) {
+        this.chat = chat;
+        this.model = model;
+        this.id = id;
+    }
+
+    /** Returns one event of a stream. */
+    String event(String token) {
+        ObjectNode root = root(chat ? "chat.completion.chunk" : "text_completion");
+        ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
+        if (chat) {
+            choice.putObject("delta").put("content", token);
+        } else {
+            choice.put("text", token);
+        }
+        return "data: " + root + "\n\n";
+    }
+
+    /** Returns a whole answer. */
+    String whole(List<String> tokens) {
+        ObjectNode root = root(chat ? "chat.completion" : "text_completion");
+        ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
+        String text = String.join("", tokens);
+        if (chat) {
+            choice.putObject("message").put("role", "assistant").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.put("finish_reason", "stop");
+        root.putObject("usage").put("completion_tokens", tokens.size());
+        return root.toString();
+    }
+
+    private ObjectNode root(String object) {
+        return MAPPER.createObjectNode().put("id", id).put("object", object).put("model", model);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/firwheel/standin/ExpectedAnswer.java
@@ -0,0 +1,62 @@
+package firwheel.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.zip.CRC32C;
+
+/** The stand-in engine's answer as a function of the request, so that a checker can tell it byte for byte. */
+public final class ExpectedAnswer {
+    /** Tokens generated when the request does not limit them. */
+    public static final int DEFAULT_MAX_TOKENS = 32;
+
+    private static final int RADIX = 36;
+    private static final int TOKEN_VALUES = 1_000_000;
+
+    private ExpectedAnswer() {}
+
+    /** Returns the tokens that answer {@code prompt}; each ends with a space. */
+    public static List<String> tokens(String model, String prompt, int maxTokens) {
+        SplittableRandom random = new SplittableRandom(seed(model, prompt));
+        List<String> tokens = new ArrayList<>(maxTokens);
+        for (int i = 0; i < maxTokens; i++) {
+            tokens.add(Integer.toString(random.nextInt(TOKEN_VALUES), RADIX) + " ");
+        }
+        return tokens;
+    }
+
+    /** Returns the answer id. */
+    public static String id(String model, String prompt) {
+        return "cmpl-" + Long.toHexString(seed(model, prompt));
+    }
+
+    /** Returns the prompt text of a chat or completion request. */
+    public static String prompt(JsonNode request) {
+        if (request.has("prompt")) {
+            return request.get("prompt").asText();
+        }
+        StringBuilder text = new StringBuilder();
+        for (JsonNode message : request.path("messages")) {
+            text.append(message.path("role").asText()).append(':');
+            text.append(message.path("content").asText()).append('\n');
+        }
+        return text.toString();
+    }
+
+    /** Returns the checksum that the stand-in service answers with. */
+    public static String digest(byte[] body) {
+        CRC32C crc = new CRC32C();
+        crc.update(body);
+        return Long.toHexString(crc.getValue());
+    }
+
+    private static long seed(String model, String prompt) {
+        CRC32C crc = new CRC32C();
+        crc.update(model.getBytes(StandardCharsets.UTF_8));
+        crc.update(0);
+        crc.update(prompt.getBytes(StandardCharsets.UTF_8));
+        return crc.getValue();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/firwheel/standin/StandInEngine.java
@@ -0,0 +1,162 @@
+package firwheel.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Small replacement of one model engine. It answers completions with {@link ExpectedAnswer}, token by token. A request
+ * may name {@code continue_tokens}, the number of tokens already delivered elsewhere.
+ */
+public final class StandInEngine {
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+
+    private final Vertx vertx;
+    private final Duration firstTokenDelay;
+    private final Duration tokenDelay;
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final AtomicInteger running = new AtomicInteger();
+    private final AtomicLong started = new AtomicLong();
+    private final AtomicLong cancelled = new AtomicLong();
+
+    /** Creates an engine with its delays before the first token and between tokens. */
+    public StandInEngine(Vertx vertx, Duration firstTokenDelay, Duration tokenDelay) {
+        this.vertx = vertx;
+        this.firstTokenDelay = firstTokenDelay;
+        this.tokenDelay = tokenDelay;
+    }
+
+    /** Listens; port 0 picks a free one. */
+    public CompletableFuture<HttpServer> listen(String ip, int port) {
+        return vertx.createHttpServer()
+                .requestHandler(this::handle)
+                .listen(port, ip)
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    /** Returns how many requests run. */
+    public int running() {
+        return running.get();
+    }
+
+    /** Returns how many requests were started in all. */
+    public long started() {
+        return started.get();
+    }
+
+    /** Returns how many requests ended because their client left. */
+    public long cancelled() {
+        return cancelled.get();
+    }
+
+    private void handle(HttpServerRequest request) {
+        switch (request.path()) {
+            case "/v1/chat/completions" -> request.body().onSuccess(body -> complete(request, body, true));
+            case "/v1/completions" -> request.body().onSuccess(body -> complete(request, body, false));
+            case "/load" -> request.response().end("{\"running\":" + running.get() + "}");
+            default -> request.response().setStatusCode(NOT_FOUND).end();
+        }
+    }
+
+    private void complete(HttpServerRequest request, Buffer body, boolean chat) {
+        JsonNode json;
+        try {
+            json = mapper.readTree(body.getBytes());
+        } catch (IOException e) {
+            request.response().setStatusCode(BAD_REQUEST).end("{\"error\":{\"message\":\"not JSON\"}}");
+            return;
+        }
+        String model = json.path("model").asText();
+        String prompt = ExpectedAnswer.prompt(json);
+        int maxTokens = json.path("max_tokens").asInt(ExpectedAnswer.DEFAULT_MAX_TOKENS);
+        List<String> tokens = ExpectedAnswer.tokens(model, prompt, maxTokens);
+        CompletionJson format = new CompletionJson(chat, model, ExpectedAnswer.id(model, prompt));
+        started.incrementAndGet();
+        running.incrementAndGet();
+        Run run =
+                new Run(request.response(), format, tokens, json.path("stream").asBoolean());
+        run.position = Math.min(json.path("continue_tokens").asInt(0), tokens.size());
+        run.begin();
+    }
+
+    /** One running completion. */
+    private final class Run {
+        private final HttpServerResponse response;
+        private final CompletionJson format;
+        private final List<String> tokens;
+        private final boolean stream;
+        private int position;
+        private boolean over;
+
+        Run(HttpServerResponse response, CompletionJson format, List<String> tokens, boolean stream) {
+            this.response = response;
+            this.format = format;
+            this.tokens = tokens;
+            this.stream = stream;
+        }
+
+        void begin() {
+            response.closeHandler(ignored -> leave());
+            response.endHandler(ignored -> leave());
+            if (stream) {
+                response.setChunked(true).putHeader("Content-Type", "text/event-stream");
+            } else {
+                response.putHeader("Content-Type", "application/json");
+            }
+            after(firstTokenDelay, this::step);
+        }
+
+        private void step() {
+            if (over) {
+                return;
+            }
+            if (position == tokens.size()) {
+                finish();
+                return;
+            }
+            String token = tokens.get(position++);
+            if (stream) {
+                response.write(format.event(token));
+            }
+            if (stream && response.writeQueueFull()) {
+                response.drainHandler(ignored -> after(tokenDelay, this::step));
+            } else {
+                after(tokenDelay, this::step);
+            }
+        }
+
+        private void finish() {
+            response.end(stream ? "data: [DONE]\n\n" : format.whole(tokens));
+        }
+
+        private void leave() {
+            if (!over) {
+                over = true;
+                running.decrementAndGet();
+                if (position < tokens.size()) {
+                    cancelled.incrementAndGet();
+                }
+            }
+        }
+
+        private void after(Duration delay, Runnable action) {
+            if (delay.toMillis() < 1) {
+                vertx.runOnContext(ignored -> action.run());
+            } else {
+                vertx.setTimer(delay.toMillis(), ignored -> action.run());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/firwheel/standin/StandInPlatform.java
@@ -0,0 +1,124 @@
+package firwheel.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.model.FirwheelException;
+import firwheel.platform.HostList;
+import firwheel.platform.PlatformRequests;
+import firwheel.platform.TableService;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+
+/** Serves a table service, an object store and a host list over HTTP, in the form that the HTTP adapter reads. */
+public final class StandInPlatform {
+    private static final int NO_CONTENT = 204;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
+
+    private final Vertx vertx;
+    private final TableService tables;
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+    private volatile List<HostList.HostEntry> hosts = List.of();
+
+    /** Creates a platform that keeps its rows in {@code tables}. */
+    public StandInPlatform(Vertx vertx, TableService tables) {
+        this.vertx = vertx;
+        this.tables = tables;
+    }
+
+    /** Replaces the host list. */
+    public void setHosts(List<HostList.HostEntry> newHosts) {
+        hosts = List.copyOf(newHosts);
+    }
+
+    /** Listens; port 0 picks a free one. */
+    public CompletableFuture<HttpServer> listen(String ip, int port) {
+        return vertx.createHttpServer()
+                .requestHandler(request -> request.body().onSuccess(body -> handle(request, body)))
+                .listen(port, ip)
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    private void handle(HttpServerRequest request, Buffer body) {
+        try {
+            switch (request.path()) {
+                case PlatformRequests.READ_PATH ->
+                    answer(
+                            request,
+                            tables.read(read(body, PlatformRequests.Read.class).keys()));
+                case PlatformRequests.SCAN_PATH -> scan(request, read(body, PlatformRequests.Scan.class));
+                case PlatformRequests.COMMIT_PATH ->
+                    answer(request, tables.commit(read(body, firwheel.platform.Transaction.class)));
+                case PlatformRequests.HOSTS_PATH -> answer(request, CompletableFuture.completedFuture(hosts));
+                default -> object(request, body);
+            }
+        } catch (IOException e) {
+            request.response().setStatusCode(BAD_REQUEST).end("malformed request\n");
+        }
+    }
+
+    private <T> T read(Buffer body, Class<T> type) throws IOException {
+        return mapper.readValue(body.getBytes(), type);
+    }
+
+    private void scan(HttpServerRequest request, PlatformRequests.Scan scan) {
+        answer(request, tables.scan(scan.prefix(), scan.afterKey(), scan.limit()));
+    }
+
+    private void object(HttpServerRequest request, Buffer body) {
+        if (!request.path().startsWith(PlatformRequests.OBJECTS_PATH)) {
+            request.response().setStatusCode(NOT_FOUND).end();
+            return;
+        }
+        String name = request.path().substring(PlatformRequests.OBJECTS_PATH.length());
+        if (request.method().name().equals("PUT")) {
+            objects.put(name, body.getBytes());
+            request.response().setStatusCode(NO_CONTENT).end();
+            return;
+        }
+        byte[] content = objects.get(name);
+        if (content == null) {
+            request.response().setStatusCode(NOT_FOUND).end();
+        } else {
+            request.response().end(Buffer.buffer(content));
+        }
+    }
+
+    private <T> void answer(HttpServerRequest request, CompletableFuture<T> result) {
+        var unused = result.whenComplete((value, error) -> vertx.runOnContext(ignored -> {
+            if (error == null) {
+                write(request, value);
+            } else {
+                fail(request, FirwheelException.of(error));
+            }
+        }));
+    }
+
+    private void write(HttpServerRequest request, @Nullable Object value) {
+        try {
+            request.response()
+                    .putHeader("Content-Type", "application/json")
+                    .end(Buffer.buffer(mapper.writeValueAsBytes(value)));
+        } catch (IOException e) {
+            request.response().setStatusCode(UNAVAILABLE).end();
+        }
+    }
+
+    private static void fail(HttpServerRequest request, FirwheelException error) {
+        switch (error.code()) {
+            case PLATFORM_RATE_LIMITED -> request.response().setStatusCode(429).end();
+            case PLATFORM_UNKNOWN -> request.connection().close();
+            default -> request.response().setStatusCode(UNAVAILABLE).end();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/firwheel/standin/StandInService.java
@@ -0,0 +1,96 @@
+package firwheel.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Small replacement of a plain service. Every call but GET is written to a ledger; {@code GET /ledger} returns it. The
+ * answer is a function of the request.
+ */
+public final class StandInService {
+    private static final int INTERNAL_ERROR = 500;
+
+    private final Vertx vertx;
+    private final Duration delay;
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final List<LedgerEntry> ledger = new ArrayList<>();
+
+    /**
+     * One executed call.
+     *
+     * @param path path of the call
+     * @param idempotencyKey key that came with it, or empty
+     * @param digest checksum of the body
+     */
+    public record LedgerEntry(String path, String idempotencyKey, String digest) {}
+
+    /** Answer to a call. */
+    private record Receipt(String path, String digest) {}
+
+    /** Creates a service that takes {@code delay} for each call. */
+    public StandInService(Vertx vertx, Duration delay) {
+        this.vertx = vertx;
+        this.delay = delay;
+    }
+
+    /** Listens; port 0 picks a free one. */
+    public CompletableFuture<HttpServer> listen(String ip, int port) {
+        return vertx.createHttpServer()
+                .requestHandler(this::handle)
+                .listen(port, ip)
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    /** Returns the calls executed so far. */
+    public synchronized List<LedgerEntry> ledger() {
+        return List.copyOf(ledger);
+    }
+
+    private void handle(HttpServerRequest request) {
+        request.body().onSuccess(body -> {
+            if (request.path().equals("/ledger")) {
+                answer(request, ledger());
+                return;
+            }
+            execute(request, body);
+        });
+    }
+
+    private void execute(HttpServerRequest request, Buffer body) {
+        String digest = ExpectedAnswer.digest(body.getBytes());
+        if (!request.method().equals(HttpMethod.GET)) {
+            String key = request.getHeader("Idempotency-Key");
+            record(new LedgerEntry(request.path(), key == null ? "" : key, digest));
+        }
+        Receipt receipt = new Receipt(request.path(), digest);
+        if (delay.toMillis() < 1) {
+            answer(request, receipt);
+        } else {
+            vertx.setTimer(delay.toMillis(), ignored -> answer(request, receipt));
+        }
+    }
+
+    private synchronized void record(LedgerEntry entry) {
+        ledger.add(entry);
+    }
+
+    private void answer(HttpServerRequest request, Object value) {
+        try {
+            request.response()
+                    .putHeader("Content-Type", "application/json")
+                    .end(Buffer.buffer(mapper.writeValueAsBytes(value)));
+        } catch (JsonProcessingException e) {
+            request.response().setStatusCode(INTERNAL_ERROR).end();
+        }
+    }
+}
--- a/wire/src/main/java/firwheel/wire/AttemptMessage.java
+++ b/wire/src/main/java/firwheel/wire/AttemptMessage.java
@@ -16,7 +16,7 @@
      * @param row name of the row
      * @param rank rank of the target in its row
      * @param organisation organisation of the caller
-     * @param priority ordinal of {@link firwheel.model.Priority}
+     * @param priority name of {@link firwheel.model.Priority}
      * @param idempotent whether the request may be run again
      * @param method HTTP method towards the target
      * @param path HTTP path towards the target
@@ -33,7 +33,7 @@
             String row,
             int rank,
             String organisation,
-            int priority,
+            String priority,
             boolean idempotent,
             String method,
             String path,
--- a/wire/src/test/java/firwheel/wire/MessageCodecTest.java
+++ b/wire/src/test/java/firwheel/wire/MessageCodecTest.java
@@ -28,7 +28,21 @@
         @Test
         void keepsEveryFieldOfADispatch() {
             AttemptMessage.Dispatch dispatch = new AttemptMessage.Dispatch(
-                    attempt, -5, "row", 3, "org", 1, true, "POST", "/v1", "json", "", new byte[] {9}, 100, 20, 4);
+                    attempt,
+                    -5,
+                    "row",
+                    3,
+                    "org",
+                    "NORMAL",
+                    true,
+                    "POST",
+                    "/v1",
+                    "json",
+                    "",
+                    new byte[] {9},
+                    100,
+                    20,
+                    4);
 
             assertThat(codec.decode(codec.encode(dispatch)))
                     .usingRecursiveComparison()
