--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/AgentCommand.java
@@ -0,0 +1,24 @@
+package firwheel.cli;
+
+import firwheel.agent.AgentServer;
+import firwheel.agent.AgentSettings;
+import io.vertx.core.Vertx;
+import java.io.File;
+import java.time.Duration;
+import org.kohsuke.args4j.Option;
+
+/** Runs an agent until a signal arrives. */
+final class AgentCommand implements Command {
+    @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings in JSON")
+    private File settingsFile = new File("");
+
+    @Override
+    public ExitCode run() {
+        AgentSettings settings = SettingsFile.read(settingsFile, AgentSettings.class);
+        Vertx vertx = Vertx.vertx();
+        AgentServer agent = AgentServer.start(vertx, settings, RunningTable.follow(vertx, settings.platformUrl()))
+                .join();
+        System.out.println("ready agent=" + settings.ip() + ":" + agent.port());
+        return Shutdown.awaitSignal(agent::drain, Duration.ofMillis(settings.drainLimitMillis()));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/Demo.java
@@ -0,0 +1,203 @@
+package firwheel.cli;
+
+import firwheel.agent.AgentServer;
+import firwheel.agent.AgentSettings;
+import firwheel.entry.EntryServer;
+import firwheel.entry.EntrySettings;
+import firwheel.model.RankAddress;
+import firwheel.model.RowState;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import firwheel.model.TimeSource;
+import firwheel.platform.HttpPlatform;
+import firwheel.standin.InMemoryTableService;
+import firwheel.standin.StandInEngine;
+import firwheel.standin.StandInPlatform;
+import firwheel.standin.StandInService;
+import firwheel.table.TableCommitter;
+import firwheel.table.TableFollower;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/** A whole deployment in one process: stand-ins, two model groups of four ranks, one plain service, and entries. */
+final class Demo {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String ZONE = "zone-a";
+    private static final String SHARED_KEY = "demo-key-not-for-use";
+    private static final int GROUPS = 2;
+    private static final int RANKS = 4;
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+    private static final long BODY_TIMEOUT_MILLIS = 30_000;
+    private static final Duration FIRST_TOKEN_DELAY = Duration.ofMillis(50);
+    private static final Duration TOKEN_DELAY = Duration.ofMillis(20);
+    private static final Duration SERVICE_DELAY = Duration.ofMillis(5);
+    private static final long START_TIMEOUT_SECONDS = 30;
+
+    /**
+     * Options of the demo.
+     *
+     * @param entryPort port of the first entry; 0 picks free ones
+     * @param platformPort port of the platform; 0 picks a free one
+     * @param entries number of entries
+     * @param drainLimit longest time that shutdown waits
+     */
+    record Options(int entryPort, int platformPort, int entries, Duration drainLimit) {}
+
+    private final Vertx vertx = Vertx.vertx();
+    private final Options options;
+    private final List<AgentServer> agents = new ArrayList<>();
+    private final List<EntryServer> entries = new ArrayList<>();
+    private String platformUrl = "";
+
+    private Demo(Options options) {
+        this.options = options;
+    }
+
+    /** Starts everything and returns once all entries have a table. */
+    static Demo start(Options options) {
+        Demo demo = new Demo(options);
+        demo.startAll();
+        return demo;
+    }
+
+    /** Returns the line that tells where the entries and the platform listen. */
+    String readyLine() {
+        String urls = entries.stream()
+                .map(entry -> "http://" + LOOPBACK + ":" + entry.port())
+                .collect(Collectors.joining(","));
+        return "ready entry=" + urls + " platform=" + platformUrl;
+    }
+
+    /** Returns the ports of the entries. */
+    List<Integer> entryPorts() {
+        return entries.stream().map(EntryServer::port).toList();
+    }
+
+    /** Drains the entries, then the agents. */
+    CompletableFuture<Void> drain() {
+        return CompletableFuture.allOf(entries.stream().map(EntryServer::drain).toArray(CompletableFuture<?>[]::new))
+                .thenCompose(done -> CompletableFuture.allOf(
+                        agents.stream().map(AgentServer::drain).toArray(CompletableFuture<?>[]::new)));
+    }
+
+    /** Stops everything at once. */
+    void close() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private void startAll() {
+        HttpServer platform = new StandInPlatform(vertx, new InMemoryTableService())
+                .listen(LOOPBACK, options.platformPort())
+                .join();
+        platformUrl = "http://" + LOOPBACK + ":" + platform.actualPort();
+        TableFollower table = RunningTable.follow(vertx, platformUrl);
+        List<TargetRow> rows = new ArrayList<>();
+        for (int group = 0; group < GROUPS; group++) {
+            rows.add(startGroup("group-" + group, table));
+        }
+        rows.add(startService("order-desk-0", table));
+        commit(new TableSnapshot(0, rows));
+        for (int i = 0; i < options.entries(); i++) {
+            entries.add(startEntry(options.entryPort() == 0 ? 0 : options.entryPort() + i, table));
+        }
+        awaitTable(table);
+    }
+
+    private TargetRow startGroup(String name, TableFollower table) {
+        List<RankAddress> hosts = new ArrayList<>();
+        for (int rank = 0; rank < RANKS; rank++) {
+            HttpServer engine = new StandInEngine(vertx, FIRST_TOKEN_DELAY, TOKEN_DELAY)
+                    .listen(LOOPBACK, 0)
+                    .join();
+            hosts.add(startAgent(name, rank, engine.actualPort(), table));
+        }
+        return row(name, TargetKind.MODEL, List.of("demo-model"), true, hosts);
+    }
+
+    private TargetRow startService(String name, TableFollower table) {
+        HttpServer service =
+                new StandInService(vertx, SERVICE_DELAY).listen(LOOPBACK, 0).join();
+        RankAddress host = startAgent(name, 0, service.actualPort(), table);
+        return row(name, TargetKind.SERVICE, List.of("order-desk"), false, List.of(host));
+    }
+
+    private RankAddress startAgent(String row, int rank, int targetPort, TableFollower table) {
+        AgentSettings settings = new AgentSettings(
+                LOOPBACK,
+                0,
+                0,
+                ZONE,
+                row,
+                rank,
+                LOOPBACK,
+                targetPort,
+                platformUrl,
+                SHARED_KEY,
+                options.drainLimit().toMillis());
+        AgentServer agent = AgentServer.start(vertx, settings, table).join();
+        agents.add(agent);
+        return new RankAddress(rank, LOOPBACK, agent.port());
+    }
+
+    private EntryServer startEntry(int port, TableFollower table) {
+        EntrySettings settings = new EntrySettings(
+                LOOPBACK,
+                port,
+                0,
+                ZONE,
+                platformUrl,
+                SHARED_KEY,
+                MAX_BODY_BYTES,
+                BODY_TIMEOUT_MILLIS,
+                options.drainLimit().toMillis());
+        return EntryServer.start(vertx, settings, table, Routing.defaultPolicy())
+                .join();
+    }
+
+    private static TargetRow row(
+            String name, TargetKind kind, List<String> models, boolean idempotent, List<RankAddress> hosts) {
+        return new TargetRow(
+                name, kind, models, ZONE, RowState.SERVING, 1, 64, 64, 100_000, idempotent, hosts, false, false, 1, 1);
+    }
+
+    private void commit(TableSnapshot wanted) {
+        HttpPlatform client = new HttpPlatform(vertx, URI.create(platformUrl), RunningTable.PLATFORM_TIMEOUT);
+        TableCommitter committer = new TableCommitter(client, TimeSource.system(), this::delay);
+        committer
+                .apply(
+                        TableSnapshot.EMPTY,
+                        wanted,
+                        "demo",
+                        "first table",
+                        UUID.randomUUID().toString())
+                .orTimeout(START_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .join();
+    }
+
+    private CompletableFuture<Void> delay(Duration wait) {
+        return vertx.timer(wait.toMillis(), TimeUnit.MILLISECONDS)
+                .<Void>mapEmpty()
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    private void awaitTable(TableFollower table) {
+        CompletableFuture<Void> present = new CompletableFuture<>();
+        vertx.setPeriodic(10, timer -> {
+            if (table.get().revision() > 0) {
+                vertx.cancelTimer(timer);
+                present.complete(null);
+            }
+        });
+        present.orTimeout(START_TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/DemoCommand.java
@@ -0,0 +1,25 @@
+package firwheel.cli;
+
+import java.time.Duration;
+import org.kohsuke.args4j.Option;
+
+/** Runs stand-ins, agents and entries in one process over real sockets. */
+final class DemoCommand implements Command {
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(30);
+
+    @Option(name = "--entry-port", metaVar = "N", usage = "HTTP port of the first entry; the others follow")
+    private int entryPort = 8080;
+
+    @Option(name = "--platform-port", metaVar = "N", usage = "HTTP port of the stand-in platform")
+    private int platformPort = 8090;
+
+    @Option(name = "--entries", metaVar = "N", usage = "number of entries")
+    private int entries = 2;
+
+    @Override
+    public ExitCode run() {
+        Demo demo = Demo.start(new Demo.Options(entryPort, platformPort, entries, DRAIN_LIMIT));
+        System.out.println(demo.readyLine());
+        return Shutdown.awaitSignal(demo::drain, DRAIN_LIMIT);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/EntryCommand.java
@@ -0,0 +1,25 @@
+package firwheel.cli;
+
+import firwheel.entry.EntryServer;
+import firwheel.entry.EntrySettings;
+import io.vertx.core.Vertx;
+import java.io.File;
+import java.time.Duration;
+import org.kohsuke.args4j.Option;
+
+/** Runs an entry until a signal arrives. */
+final class EntryCommand implements Command {
+    @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings in JSON")
+    private File settingsFile = new File("");
+
+    @Override
+    public ExitCode run() {
+        EntrySettings settings = SettingsFile.read(settingsFile, EntrySettings.class);
+        Vertx vertx = Vertx.vertx();
+        EntryServer entry = EntryServer.start(
+                        vertx, settings, RunningTable.follow(vertx, settings.platformUrl()), Routing.defaultPolicy())
+                .join();
+        System.out.println("ready entry=http://" + settings.ip() + ":" + entry.port());
+        return Shutdown.awaitSignal(entry::drain, Duration.ofMillis(settings.drainLimitMillis()));
+    }
+}
--- a/cli/src/main/java/firwheel/cli/Main.java
+++ b/cli/src/main/java/firwheel/cli/Main.java
@@ -1,11 +1,60 @@
 package firwheel.cli;
 
+import firwheel.model.FirwheelException;
+import java.util.Arrays;
+import java.util.Optional;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.ParserProperties;
+
 /** Entry point of the firwheel binary. */
 public final class Main {
+    private static final int USAGE_WIDTH = 100;
+
     private Main() {}
 
-    /** Runs the subcommand that the arguments name. */
+    /** Runs the subcommand that the arguments name and exits with its code. */
     public static void main(String[] args) {
-        System.out.println("firwheel");
+        System.exit(run(args).number());
+    }
+
+    /** Runs the subcommand that the arguments name. */
+    static ExitCode run(String[] args) {
+        if (args.length == 0 || args[0].equals("--help") || args[0].equals("help")) {
+            printOverview();
+            return args.length == 0 ? ExitCode.BAD_INPUT : ExitCode.DONE;
+        }
+        Optional<Commands.Entry> entry = Commands.find(args[0]);
+        if (entry.isEmpty()) {
+            System.err.println("FW-9002 unknown command " + args[0] + "; see firwheel --help");
+            return ExitCode.BAD_INPUT;
+        }
+        return run(entry.get(), Arrays.copyOfRange(args, 1, args.length));
+    }
+
+    private static ExitCode run(Commands.Entry entry, String[] options) {
+        Command command = entry.create().get();
+        CmdLineParser parser =
+                new CmdLineParser(command, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH));
+        if (Arrays.asList(options).contains("--help")) {
+            System.out.println("firwheel " + entry.name() + ": " + entry.summary());
+            parser.printUsage(System.out);
+            return ExitCode.DONE;
+        }
+        try {
+            parser.parseArgument(options);
+            return command.run();
+        } catch (CmdLineException e) {
+            System.err.println("FW-9002 " + e.getMessage() + "; see firwheel " + entry.name() + " --help");
+            return ExitCode.BAD_INPUT;
+        } catch (FirwheelException e) {
+            System.err.println(e.getMessage() + " " + e.code().remedy());
+            return ExitCode.of(e.code());
+        }
+    }
+
+    private static void printOverview() {
+        System.out.println("firwheel COMMAND [options]; firwheel COMMAND --help lists the options");
+        Commands.ALL.forEach(entry -> System.out.printf("  %-14s %s%n", entry.name(), entry.summary()));
     }
 }
--- /dev/null
+++ b/table/src/main/java/firwheel/table/TableFollower.java
@@ -0,0 +1,63 @@
+package firwheel.table;
+
+import firwheel.model.EventCode;
+import firwheel.model.Events;
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import firwheel.model.TableSnapshot;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps the newest table that the platform has shown by asking it at an interval. Never goes back. */
+public final class TableFollower implements Supplier<TableSnapshot>, AutoCloseable {
+    private static final Logger logger = LoggerFactory.getLogger(TableFollower.class);
+
+    private final TableReader reader;
+    private final Disposable polling;
+    private volatile TableSnapshot inForce = TableSnapshot.EMPTY;
+
+    /** Starts polling at once and then at {@code interval}. */
+    public TableFollower(TableReader reader, Scheduler scheduler, Duration interval) {
+        this.reader = reader;
+        polling = scheduler.schedulePeriodicallyDirect(this::poll, 0, interval.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public TableSnapshot get() {
+        return inForce;
+    }
+
+    @Override
+    public void close() {
+        polling.dispose();
+    }
+
+    private void poll() {
+        var unused = reader.readRevision()
+                .thenCompose(revision -> reader.read())
+                .whenComplete((table, error) -> {
+                    if (error == null) {
+                        adopt(table);
+                    } else {
+                        onFailure(FirwheelException.of(error));
+                    }
+                });
+    }
+
+    private synchronized void adopt(TableSnapshot table) {
+        if (table.revision() > inForce.revision()) {
+            inForce = table;
+            Events.log(logger, EventCode.TABLE_IN_FORCE, "revision", table.revision());
+        }
+    }
+
+    private static void onFailure(FirwheelException failure) {
+        EventCode event = failure.code() == ResultCode.TABLE_FIELD ? EventCode.TABLE_REJECTED : EventCode.PLATFORM_DOWN;
+        Events.log(logger, event, "code", failure.code().label());
+    }
+}
