Switch protocol for expert maps as pure states and decisions

Cause: a group must never run a step under two maps, and the outcome of a change must be found without a store after its coordinator dies. A group with a rank that lost its memory, or with new members, goes on in a new epoch of step numbers, so that neither outcome of an old proposal can clash. Ruled out: letting a restarted rank vote on an old proposal from what the others hold; both outcomes can then clash with what it ran before. Seeded faults (skip the promise, ignore fencing, commit on majority) are found.

--- /dev/null
+++ b/experts/src/main/java/firwheel/experts/protocol/RankState.java
@@ -0,0 +1,126 @@
+package firwheel.experts.protocol;
+
+import firwheel.experts.MapId;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What one rank's agent knows of its group's map. Kept in memory only: a restarted agent begins with {@link #restarted}
+ * and runs no step until a proposal that opens a new epoch is committed.
+ *
+ * @param member endpoint of the agent
+ * @param incarnation random number of the agent's process
+ * @param floor highest round seen
+ * @param committed last proposal known to be committed; null after a restart
+ * @param previousMap map of the steps before {@code committed.from()} in the same epoch
+ * @param nextStep first step that the rank has not started; null after a restart
+ * @param promises proposals accepted and not decided, lowest first: at most one within the epoch and one that opens one
+ * @param staged maps whose experts are loaded
+ */
+public record RankState(
+        String member,
+        long incarnation,
+        RoundNumber floor,
+        @Nullable Proposal committed,
+        @Nullable MapId previousMap,
+        @Nullable StepId nextStep,
+        List<Proposal> promises,
+        Set<MapId> staged) {
+    public RankState {
+        promises = List.copyOf(promises);
+        staged = Set.copyOf(staged);
+    }
+
+    /**
+     * Returns the state of an agent that has just started.
+     *
+     * @param fencing the present fencing number of the group's lease, read from the platform
+     */
+    public static RankState restarted(String member, long incarnation, long fencing) {
+        return new RankState(member, incarnation, new RoundNumber(fencing, 0), null, null, null, List.of(), Set.of());
+    }
+
+    /** Returns the step that the rank may start now and its map; empty while it must wait. */
+    public Optional<StepRun> runnable() {
+        if (committed == null || nextStep == null || blocked(nextStep)) {
+            return Optional.empty();
+        }
+        if (nextStep.compareTo(committed.from()) >= 0) {
+            return Optional.of(new StepRun(nextStep, committed.map()));
+        }
+        return previousMap == null ? Optional.empty() : Optional.of(new StepRun(nextStep, previousMap));
+    }
+
+    /** Returns the state after the rank has started the step that {@link #runnable} allowed. */
+    public RankState started(StepRun run) {
+        return new RankState(
+                member, incarnation, floor, committed, previousMap, run.step().plus(1), promises, staged);
+    }
+
+    /** Returns the state with the experts of {@code map} loaded. */
+    public RankState withStaged(MapId map) {
+        Set<MapId> maps = new HashSet<>(staged);
+        maps.add(map);
+        return new RankState(member, incarnation, floor, committed, previousMap, nextStep, promises, maps);
+    }
+
+    /** Returns the state without the experts of {@code map}; unchanged while the map is in use or promised. */
+    public RankState withoutStaged(MapId map) {
+        if (inUse(map)) {
+            return this;
+        }
+        Set<MapId> maps = new HashSet<>(staged);
+        maps.remove(map);
+        return new RankState(member, incarnation, floor, committed, previousMap, nextStep, promises, maps);
+    }
+
+    /** Returns the state with the highest round seen set to {@code round}. */
+    public RankState withFloor(RoundNumber round) {
+        return new RankState(member, incarnation, round, committed, previousMap, nextStep, promises, staged);
+    }
+
+    /** Returns the state with other promises. */
+    public RankState withPromises(List<Proposal> held) {
+        return new RankState(member, incarnation, floor, committed, previousMap, nextStep, held, staged);
+    }
+
+    /** Returns whether {@code proposal} is accepted and not decided. */
+    public boolean holds(Proposal proposal) {
+        return promises.contains(proposal);
+    }
+
+    /** Returns the state with {@code proposal} accepted; one that opens an epoch replaces an earlier such one. */
+    RankState withPromise(Proposal proposal) {
+        List<Proposal> held = new ArrayList<>(promises);
+        held.removeIf(other -> other.opensEpoch() && proposal.opensEpoch());
+        held.add(proposal);
+        return withPromises(held);
+    }
+
+    /** Returns the state after {@code proposal}, which the rank holds, is committed. */
+    RankState withCommitted(Proposal proposal) {
+        List<Proposal> held = new ArrayList<>(promises);
+        held.removeIf(other -> other.number().compareTo(proposal.number()) <= 0);
+        MapId before = proposal.opensEpoch() || committed == null ? null : committed.map();
+        StepId next = proposal.opensEpoch() ? proposal.from() : nextStep;
+        return new RankState(member, incarnation, floor, proposal, before, next, held, staged);
+    }
+
+    private boolean blocked(StepId step) {
+        return promises.stream().anyMatch(promise -> promise.from().compareTo(step) <= 0);
+    }
+
+    private boolean inUse(MapId map) {
+        boolean current = committed != null && committed.map().equals(map);
+        return current
+                || map.equals(previousMap)
+                || promises.stream().anyMatch(p -> p.map().equals(map));
+    }
+
+    /** A step and the map that it runs under. */
+    public record StepRun(StepId step, MapId map) {}
+}
--- /dev/null
+++ b/experts/src/main/java/firwheel/experts/protocol/Resolution.java
@@ -0,0 +1,94 @@
+package firwheel.experts.protocol;
+
+import firwheel.experts.MapId;
+import firwheel.experts.protocol.MapOrder.Decision;
+import firwheel.experts.protocol.RankReply.Status;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the statuses of all members, taken in one round, say has to be done. It depends on the statuses alone, so every
+ * coordinator comes to the same outcome for a proposal.
+ */
+public sealed interface Resolution {
+    /** The outcome of {@code proposal} is known and some member has yet to learn it. */
+    record Outcome(Proposal proposal, Decision decision) implements Resolution {}
+
+    /**
+     * A new epoch is needed, as a member lost its memory or the members changed.
+     *
+     * @param map last map known to be committed; null if no member knows one
+     */
+    record NewEpoch(@Nullable MapId map) implements Resolution {}
+
+    /**
+     * All members hold the same committed proposal and nothing is undecided.
+     *
+     * @param furthest highest first step that a member has not started
+     */
+    record Agreed(Proposal committed, StepId furthest) implements Resolution {}
+
+    /** Returns what to do, given the status of every one of {@code members}. */
+    static Resolution of(List<String> members, Collection<Status> statuses) {
+        Optional<Proposal> opening = promises(statuses).stream()
+                .filter(p -> p.opensEpoch() && p.members().equals(members) && heldByAll(statuses, p))
+                .findFirst();
+        if (opening.isPresent()) {
+            return new Outcome(opening.get(), Decision.COMMIT);
+        }
+        Proposal latest = latestCommitted(statuses);
+        if (latest == null || !latest.members().equals(members)) {
+            return new NewEpoch(latest == null ? null : latest.map());
+        }
+        boolean agreed = statuses.stream().allMatch(status -> latest.equals(status.committed()));
+        return agreed ? withinEpoch(latest, statuses) : behind(latest, statuses);
+    }
+
+    private static Resolution behind(Proposal latest, Collection<Status> statuses) {
+        boolean allHold = statuses.stream()
+                .allMatch(status ->
+                        latest.equals(status.committed()) || status.promises().contains(latest));
+        return allHold ? new Outcome(latest, Decision.COMMIT) : new NewEpoch(latest.map());
+    }
+
+    private static Resolution withinEpoch(Proposal committed, Collection<Status> statuses) {
+        List<Proposal> undecided = promises(statuses);
+        if (undecided.isEmpty()) {
+            return new Agreed(committed, furthest(committed, statuses));
+        }
+        Proposal first = undecided.get(0);
+        return new Outcome(first, heldByAll(statuses, first) ? Decision.COMMIT : Decision.ABORT);
+    }
+
+    private static List<Proposal> promises(Collection<Status> statuses) {
+        return statuses.stream()
+                .flatMap(status -> status.promises().stream())
+                .distinct()
+                .sorted(Comparator.comparing(Proposal::number))
+                .toList();
+    }
+
+    private static boolean heldByAll(Collection<Status> statuses, Proposal proposal) {
+        return statuses.stream().allMatch(status -> status.promises().contains(proposal));
+    }
+
+    private static @Nullable Proposal latestCommitted(Collection<Status> statuses) {
+        return statuses.stream()
+                .map(Status::committed)
+                .filter(Objects::nonNull)
+                .max(Comparator.comparing(Proposal::number))
+                .orElse(null);
+    }
+
+    private static StepId furthest(Proposal committed, Collection<Status> statuses) {
+        return statuses.stream()
+                .map(Status::nextStep)
+                .filter(Objects::nonNull)
+                .max(Comparator.naturalOrder())
+                .orElse(committed.from());
+    }
+}
--- /dev/null
+++ b/experts/src/test/java/firwheel/experts/protocol/SwitchProtocolPropertyTest.java
@@ -0,0 +1,65 @@
+package firwheel.experts.protocol;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Seeded schedules of loss, duplication, reordering, delay, restarts and paused coordinators. */
+class SwitchProtocolPropertyTest {
+    private static final int SEEDS = Integer.getInteger("firwheel.seeds", 10_000);
+    private static final RankProtocol RANK = new PromisingRank();
+    private static final CoordinatorProtocol COORDINATOR = new SwitchCoordinator();
+
+    @Test
+    void noStepRunsUnderTwoMapsAndTheGroupRunsAgain() {
+        long committed = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SwitchScenario scenario = new SwitchScenario(seed, RANK, COORDINATOR);
+            try {
+                scenario.run();
+            } catch (IllegalStateException e) {
+                throw new AssertionError("seed " + seed, e);
+            }
+            committed += scenario.committed().size();
+        }
+        System.out.println(
+                "switch protocol: " + SEEDS + " schedules, " + committed + " changes committed within epochs");
+        assertThat(committed).isGreaterThan(SEEDS / 2);
+    }
+
+    /** Each seeded fault must be found. */
+    @Nested
+    class SeededFaults {
+        @Test
+        void findsARankThatSkipsThePromise() {
+            assertFound(FaultyProtocols.skippingThePromise(), COORDINATOR);
+        }
+
+        @Test
+        void findsARankThatIgnoresFencing() {
+            assertFound(FaultyProtocols.ignoringFencing(), COORDINATOR);
+        }
+
+        @Test
+        void findsACoordinatorThatCommitsOnMajority() {
+            assertFound(RANK, FaultyProtocols.committingOnMajority(COORDINATOR));
+        }
+
+        private void assertFound(RankProtocol rank, CoordinatorProtocol coordinator) {
+            long found = 0;
+            long others = 0;
+            for (int seed = 0; seed < SEEDS && found == 0; seed++) {
+                try {
+                    new SwitchScenario(seed, rank, coordinator).run();
+                } catch (StepLedger.TwoMapsException e) {
+                    found++;
+                } catch (IllegalStateException e) {
+                    others++;
+                }
+            }
+            System.out.println("seeded fault: other checks found it in " + others + " schedules before");
+            assertThat(found).isPositive();
+        }
+    }
+}
