--- /dev/null
+++ b/standin/src/main/java/firwheel/standin/LaggingHostList.java
@@ -0,0 +1,40 @@
+package firwheel.standin;
+
+import firwheel.model.TimeSource;
+import firwheel.platform.HostList;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Host list that shows what was set {@code lag} ago. Not thread-safe. */
+public final class LaggingHostList implements HostList {
+    private final TimeSource time;
+    private final Duration lag;
+    private final Deque<Version> versions = new ArrayDeque<>();
+
+    /** Creates an empty list. */
+    public LaggingHostList(TimeSource time, Duration lag) {
+        this.time = time;
+        this.lag = lag;
+    }
+
+    /** Sets the true list, which shows after the lag. */
+    public void set(List<HostEntry> hosts) {
+        versions.addLast(new Version(time.monotonicNanos() + lag.toNanos(), List.copyOf(hosts)));
+    }
+
+    @Override
+    public CompletableFuture<List<HostEntry>> hosts() {
+        List<HostEntry> shown = List.of();
+        for (Version version : versions) {
+            if (version.shownFromNanos() <= time.monotonicNanos()) {
+                shown = version.hosts();
+            }
+        }
+        return CompletableFuture.completedFuture(shown);
+    }
+
+    private record Version(long shownFromNanos, List<HostEntry> hosts) {}
+}
--- /dev/null
+++ b/standin/src/main/java/firwheel/standin/VirtualTime.java
@@ -0,0 +1,58 @@
+package firwheel.standin;
+
+import firwheel.model.TimeSource;
+import firwheel.platform.Delay;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.PriorityQueue;
+import java.util.concurrent.CompletableFuture;
+
+/** Time that moves only when a test runs it; delayed work runs in order of its time. Single-threaded. */
+public final class VirtualTime implements TimeSource, Delay {
+    private static final Instant ORIGIN = Instant.parse("2026-01-01T00:00:00Z");
+
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>();
+    private long nowNanos;
+    private long scheduled;
+
+    @Override
+    public Instant now() {
+        return ORIGIN.plusNanos(nowNanos);
+    }
+
+    @Override
+    public long monotonicNanos() {
+        return nowNanos;
+    }
+
+    @Override
+    public CompletableFuture<Void> after(Duration duration) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        schedule(duration, () -> done.complete(null));
+        return done;
+    }
+
+    /** Runs {@code work} after {@code duration}. */
+    public void schedule(Duration duration, Runnable work) {
+        tasks.add(new Task(nowNanos + duration.toNanos(), scheduled++, work));
+    }
+
+    /** Runs all work that falls into the next {@code duration} and moves the time to its end. */
+    public void runFor(Duration duration) {
+        long endNanos = nowNanos + duration.toNanos();
+        for (Task next = tasks.peek(); next != null && next.atNanos() <= endNanos; next = tasks.peek()) {
+            tasks.remove(next);
+            nowNanos = next.atNanos();
+            next.work().run();
+        }
+        nowNanos = endNanos;
+    }
+
+    private record Task(long atNanos, long sequence, Runnable work) implements Comparable<Task> {
+        @Override
+        public int compareTo(Task other) {
+            int byTime = Long.compare(atNanos, other.atNanos);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+}
--- /dev/null
+++ b/table/src/main/java/firwheel/table/OrderRecord.java
@@ -0,0 +1,27 @@
+package firwheel.table;
+
+import java.util.List;
+
+/**
+ * Audit record of a batch of orders that a zone's controller gave.
+ *
+ * @param availabilityZone zone of the controller
+ * @param holderId host that held the lease
+ * @param fencingNumber fencing number of the orders
+ * @param sequence number of the batch under this fencing number, from 1
+ * @param reason why the orders were given
+ * @param atMillis wall-clock time of the holder in milliseconds since the epoch
+ * @param orders orders of the batch, one line each
+ */
+public record OrderRecord(
+        String availabilityZone,
+        String holderId,
+        long fencingNumber,
+        long sequence,
+        String reason,
+        long atMillis,
+        List<String> orders) {
+    public OrderRecord {
+        orders = List.copyOf(orders);
+    }
+}
