--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/LeastLoadedReported.java
@@ -0,0 +1,28 @@
+package firwheel.routing;
+
+import org.jspecify.annotations.Nullable;
+
+/** Takes the rank with the least load in the newest reports, the first seen from a random start among equals. */
+final class LeastLoadedReported implements RankPicker {
+    private final RandomBits random;
+
+    LeastLoadedReported(RandomBits random) {
+        this.random = random;
+    }
+
+    @Override
+    public @Nullable RankCandidate pick(RankSet ranks, RouteRequest request, RoutingView view) {
+        int start = random.below(ranks.size());
+        RankCandidate best = null;
+        long bestTokens = Long.MAX_VALUE;
+        for (int i = 0; i < ranks.size(); i++) {
+            RankCandidate candidate = ranks.rank((start + i) % ranks.size());
+            long tokens = view.load(candidate.key()).reportedTokens();
+            if (tokens < bestTokens && !request.excluded().contains(candidate.key())) {
+                best = candidate;
+                bestTokens = tokens;
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/LoadReport.java
@@ -0,0 +1,20 @@
+package firwheel.routing;
+
+/**
+ * Load of one rank as its agent states it.
+ *
+ * @param outstandingTokens tokens of running and waiting requests that are not done yet
+ * @param inFlight running requests
+ * @param queued waiting requests
+ * @param stepMicros own computing time of the rank in its last step; 0 when unknown
+ * @param silentMillis time since the engine last put out a token of its running requests; 0 when it runs none
+ * @param takenAtNanos monotonic time of the receiver at which the report was taken
+ */
+public record LoadReport(
+        long outstandingTokens, int inFlight, int queued, long stepMicros, long silentMillis, long takenAtNanos) {
+    public LoadReport {
+        if (outstandingTokens < 0 || inFlight < 0 || queued < 0 || stepMicros < 0 || silentMillis < 0) {
+            throw new IllegalArgumentException("a load must not be negative");
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/PrefixHasher.java
@@ -0,0 +1,40 @@
+package firwheel.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.openhft.hashing.LongHashFunction;
+
+/** Hashes the prefixes of a prompt in whole blocks, so that equal beginnings have equal leading hashes. */
+public final class PrefixHasher {
+    /** Length of a block in bytes of the prompt. */
+    public static final int BLOCK_BYTES = 256;
+
+    /** Tokens that one block is taken to hold. */
+    public static final int BLOCK_TOKENS = 64;
+
+    /** Blocks beyond this many are not hashed. */
+    public static final int MAX_BLOCKS = 64;
+
+    private static final int AFFINITY_BLOCKS = 4;
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+    private PrefixHasher() {}
+
+    /** Returns one hash for each whole block: entry {@code i} covers the blocks 0 to {@code i}. */
+    public static List<Long> hash(byte[] prompt) {
+        int blocks = Math.min(MAX_BLOCKS, prompt.length / BLOCK_BYTES);
+        List<Long> hashes = new ArrayList<>(blocks);
+        long[] link = new long[2];
+        for (int block = 0; block < blocks; block++) {
+            link[1] = HASH.hashBytes(prompt, block * BLOCK_BYTES, BLOCK_BYTES);
+            link[0] = HASH.hashLongs(link);
+            hashes.add(link[0]);
+        }
+        return hashes;
+    }
+
+    /** Returns the hash that places a prompt on the ring: that of its first few blocks. */
+    static long affinityKey(List<Long> prefixHashes) {
+        return prefixHashes.get(Math.min(AFFINITY_BLOCKS, prefixHashes.size()) - 1);
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/ProbePool.java
@@ -0,0 +1,69 @@
+package firwheel.routing;
+
+import firwheel.model.RankKey;
+import firwheel.model.TargetKind;
+import firwheel.model.TimeSource;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The ranks that this entry probed lately, for each model or service. After Prequal (Wydrowski et al., NSDI 2024): the
+ * pool is small, old answers leave it, and it is refilled by a few probes with each request. Thread-safe.
+ */
+final class ProbePool {
+    private static final int MAX_ENTRIES = 16;
+    private static final long MAX_AGE_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final TimeSource time;
+    private final Map<ServedName, Pool> pools = new ConcurrentHashMap<>();
+
+    ProbePool(TimeSource time) {
+        this.time = time;
+    }
+
+    /** Adds a rank that has just answered. */
+    void add(TargetKind kind, String servedName, RankKey key) {
+        pools.computeIfAbsent(new ServedName(kind, servedName), name -> new Pool())
+                .add(new Probed(key, time.monotonicNanos()));
+    }
+
+    /** Returns the ranks whose answers are fresh. */
+    List<RankKey> fresh(TargetKind kind, String servedName) {
+        Pool pool = pools.get(new ServedName(kind, servedName));
+        return pool == null ? List.of() : pool.fresh(time.monotonicNanos());
+    }
+
+    private record ServedName(TargetKind kind, String name) {}
+
+    private record Probed(RankKey key, long atNanos) {}
+
+    private static final class Pool {
+        private final Deque<Probed> entries = new ArrayDeque<>();
+        private List<RankKey> keys = List.of();
+
+        synchronized void add(Probed probed) {
+            entries.removeIf(entry -> entry.key().equals(probed.key()));
+            entries.addLast(probed);
+            if (entries.size() > MAX_ENTRIES) {
+                entries.removeFirst();
+            }
+            refreshKeys();
+        }
+
+        synchronized List<RankKey> fresh(long nowNanos) {
+            boolean expired = entries.removeIf(entry -> nowNanos - entry.atNanos() > MAX_AGE_NANOS);
+            if (expired) {
+                refreshKeys();
+            }
+            return keys;
+        }
+
+        private void refreshKeys() {
+            keys = entries.stream().map(Probed::key).toList();
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/RandomChoice.java
@@ -0,0 +1,25 @@
+package firwheel.routing;
+
+import org.jspecify.annotations.Nullable;
+
+/** Takes a rank at random. */
+final class RandomChoice implements RankPicker {
+    private static final int MAX_TRIES = 32;
+
+    private final RandomBits random;
+
+    RandomChoice(RandomBits random) {
+        this.random = random;
+    }
+
+    @Override
+    public @Nullable RankCandidate pick(RankSet ranks, RouteRequest request, RoutingView view) {
+        for (int tries = 0; tries < MAX_TRIES; tries++) {
+            RankCandidate candidate = ranks.rank(random.below(ranks.size()));
+            if (!request.excluded().contains(candidate.key())) {
+                return candidate;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/RankGroup.java
@@ -0,0 +1,60 @@
+package firwheel.routing;
+
+import firwheel.model.RankKey;
+import firwheel.model.TargetRow;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** The ranks of one serving row, which advance in lock-step where the row is a model group. */
+final class RankGroup {
+    private final TargetRow row;
+    private final List<RankCandidate> ranks;
+    private final long servingSinceNanos;
+    private volatile @Nullable GroupLoad load;
+
+    /**
+     * Creates the group of {@code row}.
+     *
+     * @param servingSinceNanos monotonic time at which the row left {@code joining}; {@link Long#MIN_VALUE} if it was
+     *     never seen joining
+     */
+    RankGroup(TargetRow row, long servingSinceNanos) {
+        this.row = row;
+        this.servingSinceNanos = servingSinceNanos;
+        this.ranks = row.hosts().stream()
+                .map(address -> new RankCandidate(new RankKey(row.name(), address.rank()), address, row, this))
+                .toList();
+    }
+
+    TargetRow row() {
+        return row;
+    }
+
+    List<RankCandidate> ranks() {
+        return ranks;
+    }
+
+    long servingSinceNanos() {
+        return servingSinceNanos;
+    }
+
+    /** Returns the summary of the group's load, read again when it is older than {@code maxAgeNanos}. */
+    GroupLoad load(RoutingView view, long maxAgeNanos) {
+        GroupLoad known = load;
+        if (known != null && view.nowNanos() - known.takenAtNanos() <= maxAgeNanos) {
+            return known;
+        }
+        GroupLoad read = GroupLoad.read(this, view);
+        load = read;
+        return read;
+    }
+
+    /** Returns the share of its weight that the row has so long after it left {@code joining}. */
+    double rampShare(long nowNanos, long rampUpNanos, double startShare) {
+        if (servingSinceNanos == Long.MIN_VALUE) {
+            return 1.0;
+        }
+        double elapsed = (double) (nowNanos - servingSinceNanos) / rampUpNanos;
+        return Math.min(1.0, startShare + (1.0 - startShare) * Math.max(0, elapsed));
+    }
+}
--- a/routing/src/main/java/firwheel/routing/RankLoad.java
+++ b/routing/src/main/java/firwheel/routing/RankLoad.java
@@ -6,10 +6,10 @@
  * @param reportedTokens outstanding tokens in the newest report
  * @param reportedInFlight running requests in the newest report
  * @param reportedQueued waiting requests in the newest report
- * @param reportedAtNanos monotonic time at which the newest report was received; 0 when none was
- * @param ownTokensSinceReport tokens that this entry sent after the newest report
+ * @param reportedAtNanos monotonic time at which the newest report was taken; 0 when none was
+ * @param ownTokensSinceReport tokens that this entry sent, less those it saw finish, after the newest report was taken
  * @param ownInFlight requests of this entry that are still open
- * @param stalled whether the rank is taken for stalled
+ * @param admissionShare share of its usual new work that the rank may get: 0 while it is stalled, 1 when healthy
  */
 public record RankLoad(
         long reportedTokens,
@@ -18,12 +18,17 @@
         long reportedAtNanos,
         long ownTokensSinceReport,
         int ownInFlight,
-        boolean stalled) {
+        double admissionShare) {
     /** A rank of which nothing is known. */
-    public static final RankLoad UNKNOWN = new RankLoad(0, 0, 0, 0, 0, 0, false);
+    public static final RankLoad UNKNOWN = new RankLoad(0, 0, 0, 0, 0, 0, 1.0);
 
     /** Returns the estimate of outstanding tokens. */
     public long estimatedTokens() {
-        return reportedTokens + ownTokensSinceReport;
+        return Math.max(0, reportedTokens + ownTokensSinceReport);
+    }
+
+    /** Returns whether the rank is taken for stalled and gets no new work. */
+    public boolean stalled() {
+        return admissionShare <= 0;
     }
 }
--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/RoundRobin.java
@@ -0,0 +1,24 @@
+package firwheel.routing;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+
+/** Takes the ranks in turn, from a start that differs between entries. */
+final class RoundRobin implements RankPicker {
+    private final AtomicLong next;
+
+    RoundRobin(RandomBits random) {
+        this.next = new AtomicLong(random.below(Integer.MAX_VALUE));
+    }
+
+    @Override
+    public @Nullable RankCandidate pick(RankSet ranks, RouteRequest request, RoutingView view) {
+        for (int tries = 0; tries < ranks.size(); tries++) {
+            RankCandidate candidate = ranks.rank(Math.floorMod(next.getAndIncrement(), ranks.size()));
+            if (!request.excluded().contains(candidate.key())) {
+                return candidate;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/TokenAwarePolicy.java
@@ -0,0 +1,187 @@
+package firwheel.routing;
+
+import firwheel.model.RankKey;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses by estimated outstanding tokens, prefix affinity with bounded load, and zone. It compares a few ranks only: the
+ * homes of the prompt's prefix, ranks probed lately and some drawn at random, so that entries which do not see each other
+ * do not all pick the same one. Thread-safe if its source of random bits is.
+ */
+public final class TokenAwarePolicy implements RoutingPolicy {
+    private static final int ZONE_SAMPLE_GROUPS = 16;
+    private static final int MAX_PROBED = 4;
+
+    /** Ranks walked on the ring for each home wanted. */
+    private static final int WALK_FACTOR = 3;
+
+    private static final long GROUP_LOAD_AGE_NANOS = Duration.ofMillis(20).toNanos();
+
+    private final RankIndex.Cache indexes = new RankIndex.Cache();
+    private final Map<String, ZoneSpill> spills = new ConcurrentHashMap<>();
+    private final TokenAwareSettings settings;
+    private final RandomBits random;
+    private final TokenScore score;
+
+    /** Creates a policy with no history. */
+    public TokenAwarePolicy(TokenAwareSettings settings, RandomBits random) {
+        this.settings = settings;
+        this.random = random;
+        this.score = new TokenScore(settings, GROUP_LOAD_AGE_NANOS);
+    }
+
+    @Override
+    public RouteDecision choose(RouteRequest request, RoutingView view) {
+        RankIndex index = indexes.of(view);
+        ServedRanks served = index.served(request.kind(), request.servedName());
+        if (served == null) {
+            return Refusals.unknownName(request.kind());
+        }
+        RankSet own = served.inZone(view.ownZone());
+        boolean spilling = own.size() > 0 && spilling(own, request, view);
+        RankSet scope = own.size() == 0 || spilling ? served.all() : own;
+        RankCandidate best = best(scope, index, request, view);
+        if (best == null && scope.size() < served.all().size()) {
+            best = best(served.all(), index, request, view);
+        }
+        if (best != null) {
+            return new RouteDecision.Chosen(best.key(), best.address());
+        }
+        return anyAtLimit(served.all(), view) ? Refusals.saturated() : Refusals.noTarget();
+    }
+
+    /**
+     * Returns the ranks whose fresh load would serve a decision on this request best: the homes of its prefix, then ranks
+     * drawn at random.
+     *
+     * @param count how many to return at most
+     */
+    public List<RankKey> probeTargets(RouteRequest request, RoutingView view, int count) {
+        ServedRanks served = indexes.of(view).served(request.kind(), request.servedName());
+        if (served == null) {
+            return List.of();
+        }
+        RankSet own = served.inZone(view.ownZone());
+        RankSet scope = own.size() == 0 ? served.all() : own;
+        CandidateList candidates = new CandidateList(Math.min(count, scope.size()));
+        addHomes(candidates, scope, request, view);
+        for (int tries = 0; tries < 2 * count && scope.size() > 0; tries++) {
+            candidates.add(scope.rank(random.below(scope.size())), false);
+        }
+        List<RankKey> keys = new ArrayList<>(candidates.size());
+        for (int i = 0; i < candidates.size(); i++) {
+            keys.add(candidates.get(i).key());
+        }
+        return keys;
+    }
+
+    private boolean spilling(RankSet own, RouteRequest request, RoutingView view) {
+        ZoneSpill spill = spills.get(request.servedName());
+        if (spill == null) {
+            spill = spills.computeIfAbsent(request.servedName(), name -> new ZoneSpill());
+        }
+        return spill.update(occupancy(own, view), view.nowNanos());
+    }
+
+    private double occupancy(RankSet ranks, RoutingView view) {
+        List<RankGroup> groups = ranks.groups();
+        int sampled = Math.min(ZONE_SAMPLE_GROUPS, groups.size());
+        int start = sampled == groups.size() ? 0 : random.below(groups.size());
+        double sum = 0;
+        for (int i = 0; i < sampled; i++) {
+            RankGroup group = groups.get((start + i) % groups.size());
+            sum += group.load(view, GROUP_LOAD_AGE_NANOS).occupancy();
+        }
+        return sum / sampled;
+    }
+
+    private @Nullable RankCandidate best(RankSet scope, RankIndex index, RouteRequest request, RoutingView view) {
+        if (scope.size() == 0) {
+            return null;
+        }
+        CandidateList candidates = new CandidateList(settings.homes() + settings.samples() + MAX_PROBED);
+        addHomes(candidates, scope, request, view);
+        addProbed(candidates, index, request, view);
+        addSamples(candidates, scope);
+        RankCandidate best = lowest(candidates, request, view);
+        return best != null ? best : firstUsable(scope, request, view);
+    }
+
+    /** Adds the first ranks clockwise of the prefix on the ring, passing over those beyond the bound. */
+    private void addHomes(CandidateList candidates, RankSet scope, RouteRequest request, RoutingView view) {
+        if (request.prefixHashes().isEmpty() || settings.homes() == 0) {
+            return;
+        }
+        RankCandidate[] walked = new RankCandidate[WALK_FACTOR * settings.homes()];
+        int found = scope.homes(PrefixHasher.affinityKey(request.prefixHashes()), walked);
+        int added = 0;
+        for (int i = 0; i < found && added < settings.homes(); i++) {
+            if (score.withinBound(walked[i], request, view)) {
+                candidates.add(walked[i], true);
+                added++;
+            }
+        }
+    }
+
+    private void addSamples(CandidateList candidates, RankSet scope) {
+        if (scope.size() <= settings.samples()) {
+            for (int i = 0; i < scope.size(); i++) {
+                candidates.add(scope.rank(i), false);
+            }
+            return;
+        }
+        for (int i = 0; i < settings.samples(); i++) {
+            candidates.add(scope.rank(random.below(scope.size())), false);
+        }
+    }
+
+    private static void addProbed(CandidateList candidates, RankIndex index, RouteRequest request, RoutingView view) {
+        List<RankKey> probed = view.probed(request.kind(), request.servedName());
+        for (int i = Math.max(0, probed.size() - MAX_PROBED); i < probed.size(); i++) {
+            RankCandidate rank = index.rank(probed.get(i));
+            if (rank != null) {
+                candidates.add(rank, false);
+            }
+        }
+    }
+
+    private @Nullable RankCandidate lowest(CandidateList candidates, RouteRequest request, RoutingView view) {
+        RankCandidate best = null;
+        double bestScore = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < candidates.size(); i++) {
+            double exact = score.of(candidates.get(i), candidates.isHome(i), request, view);
+            double blurred = exact * (1 + settings.nearEqual() * random.unit());
+            if (blurred < bestScore) {
+                best = candidates.get(i);
+                bestScore = blurred;
+            }
+        }
+        return best;
+    }
+
+    private @Nullable RankCandidate firstUsable(RankSet scope, RouteRequest request, RoutingView view) {
+        int start = random.below(scope.size());
+        for (int i = 0; i < scope.size(); i++) {
+            RankCandidate rank = scope.rank((start + i) % scope.size());
+            if (score.of(rank, false, request, view) < Double.POSITIVE_INFINITY) {
+                return rank;
+            }
+        }
+        return null;
+    }
+
+    private static boolean anyAtLimit(RankSet ranks, RoutingView view) {
+        for (int i = 0; i < ranks.size(); i++) {
+            RankLoad load = view.load(ranks.rank(i).key());
+            if (!load.stalled() && TokenScore.atLimit(ranks.rank(i), load)) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/TokenAwareSettings.java
@@ -0,0 +1,37 @@
+package firwheel.routing;
+
+import java.time.Duration;
+
+/**
+ * Settings of {@link TokenAwarePolicy}.
+ *
+ * @param homes ranks that a prefix is placed on
+ * @param samples ranks drawn at random beside those
+ * @param loadBound multiple of the mean load beyond which a home loses its advantage
+ * @param missingPrefixCost load, in parts of the missing tokens, that a rank without the prefix is charged
+ * @param stragglerCost load, in parts of the excess over its group's mean, that a rank above it is charged
+ * @param reportMemory age at which half of a report's difference from the mean counts
+ * @param nearEqual relative difference of scores that is decided at random
+ * @param otherZoneCost load, in parts of the mean, that a rank of another zone is charged
+ * @param rampUp time that a row takes from joining to its whole weight
+ */
+public record TokenAwareSettings(
+        int homes,
+        int samples,
+        double loadBound,
+        double missingPrefixCost,
+        double stragglerCost,
+        Duration reportMemory,
+        double nearEqual,
+        double otherZoneCost,
+        Duration rampUp) {
+    /** Settings in use. */
+    public static final TokenAwareSettings DEFAULTS =
+            new TokenAwareSettings(4, 4, 1.1, 0.5, 1.0, Duration.ofSeconds(2), 0.02, 0.25, Duration.ofSeconds(20));
+
+    public TokenAwareSettings {
+        if (homes < 0 || samples < 1 || loadBound < 1) {
+            throw new IllegalArgumentException("homes, samples or loadBound out of range");
+        }
+    }
+}
