--- a/admission/src/main/java/firwheel/admission/AdmissionGate.java
+++ b/admission/src/main/java/firwheel/admission/AdmissionGate.java
@@ -132,6 +132,7 @@
     public void applyRow(RowState newState, AdmissionLimits newLimits) {
         rowState = newState;
         limits = newLimits;
+        queue.setMaxCreditTokens(newLimits.maxTokensInFlight());
         if (newState != RowState.SERVING) {
             refuseAllQueued(ResultCode.ROW_NOT_SERVING);
         }
--- a/admission/src/main/java/firwheel/admission/AttemptLifecycle.java
+++ b/admission/src/main/java/firwheel/admission/AttemptLifecycle.java
@@ -15,6 +15,7 @@
 public final class AttemptLifecycle {
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_FENCES = 8;
+    private static final int MAX_FENCES_IF_REPEATABLE = 2;
     private static final int MAX_RESUMES = 16;
     private static final LifecycleAction AWAIT = new LifecycleAction.Await();
 
@@ -52,6 +53,11 @@
                 : AWAIT;
     }
 
+    /** No target was left to take the attempt. */
+    public LifecycleAction onNoTarget(AttemptId attempt, ResultCode code, Duration retryAfter) {
+        return isCurrent(attempt) ? fail(code, retryAfter) : AWAIT;
+    }
+
     /** The agent refused the attempt. */
     public LifecycleAction onRefused(AttemptId attempt, ResultCode code, Duration retryAfter, long nowMillis) {
         if (!isCurrent(attempt)) {
@@ -82,10 +88,7 @@
             return resume(running.firstHeldSequence(), nowMillis);
         }
         if (answer instanceof FenceAnswer.Ended ended) {
-            ResultCode failure = ended.failure();
-            return failure == null
-                    ? resume(ended.firstHeldSequence(), nowMillis)
-                    : onFailed(attempt, failure, nowMillis);
+            return onEnded(attempt, ended, nowMillis);
         }
         return lost(nowMillis);
     }
@@ -124,16 +127,19 @@
         return traits.idempotent() ? repeat(code, nowMillis) : fail(code, Duration.ZERO);
     }
 
+    /** The answer is larger than this process keeps in memory. */
+    public LifecycleAction onTooLarge(AttemptId attempt) {
+        return isCurrent(attempt) ? fail(ResultCode.ANSWER_TOO_LARGE, Duration.ZERO) : AWAIT;
+    }
+
     /** The caller's deadline passed. */
     public LifecycleAction onDeadline() {
-        return switch (state) {
-            case ENDED -> AWAIT;
-            case NEW -> fail(ResultCode.DEADLINE_TOO_SHORT, Duration.ZERO);
-            case RUNNING, FENCING -> {
-                mayHaveRun = true;
-                yield fail(received > 0 ? ResultCode.DEADLINE_PASSED : ResultCode.OUTCOME_UNKNOWN, Duration.ZERO);
-            }
-        };
+        return stop(ResultCode.DEADLINE_TOO_SHORT, ResultCode.DEADLINE_PASSED);
+    }
+
+    /** This process stops and waits no longer for the request. */
+    public LifecycleAction onShutdown() {
+        return stop(ResultCode.DRAINING, ResultCode.DRAIN_LIMIT);
     }
 
     /** The caller has left. */
@@ -152,6 +158,28 @@
         return state == State.ENDED;
     }
 
+    private LifecycleAction onEnded(AttemptId attempt, FenceAnswer.Ended ended, long nowMillis) {
+        ResultCode failure = ended.failure();
+        if (failure == null) {
+            return resume(ended.firstHeldSequence(), nowMillis);
+        }
+        return failure.outcome() == Outcome.NOT_RUN
+                ? retryNotRun(failure, Duration.ZERO, nowMillis)
+                : onFailed(attempt, failure, nowMillis);
+    }
+
+    private LifecycleAction stop(ResultCode notStarted, ResultCode started) {
+        return switch (state) {
+            case ENDED -> AWAIT;
+            case NEW -> fail(notStarted, Duration.ZERO);
+            case RUNNING, FENCING -> {
+                mayHaveRun = true;
+                boolean said = received > 0 || traits.idempotent();
+                yield fail(said ? started : ResultCode.OUTCOME_UNKNOWN, Duration.ZERO);
+            }
+        };
+    }
+
     private boolean isCurrent(AttemptId attempt) {
         return state != State.ENDED && attempt.equals(current);
     }
@@ -175,7 +203,8 @@
         if (attempt == null || nowMillis >= traits.deadlineMillis()) {
             return onDeadline();
         }
-        if (fences++ >= MAX_FENCES) {
+        boolean canRepeat = traits.idempotent() && (!delivered || traits.continuable());
+        if (fences++ >= (canRepeat ? MAX_FENCES_IF_REPEATABLE : MAX_FENCES)) {
             return lost(nowMillis);
         }
         state = State.FENCING;
--- a/admission/src/main/java/firwheel/admission/ClaimService.java
+++ b/admission/src/main/java/firwheel/admission/ClaimService.java
@@ -59,9 +59,9 @@
         return outcome;
     }
 
-    /** Keeps the answer of a completed request for repeats; a large one is kept as completed without its body. */
-    public CompletableFuture<Boolean> complete(Claim claim, RecordedAnswer answer) {
-        RecordedAnswer kept = answer.body().length <= MAX_RECORDED_BYTES ? answer : null;
+    /** Keeps the answer of a completed request for repeats; a large or null one is kept as completed only. */
+    public CompletableFuture<Boolean> complete(Claim claim, @Nullable RecordedAnswer answer) {
+        RecordedAnswer kept = answer != null && answer.body().length <= MAX_RECORDED_BYTES ? answer : null;
         return rewrite(claim, row(claim, ClaimRow.State.COMPLETED, kept).toJson());
     }
 
--- a/admission/src/main/java/firwheel/admission/FairQueue.java
+++ b/admission/src/main/java/firwheel/admission/FairQueue.java
@@ -26,6 +26,11 @@
         }
     }
 
+    /** Changes how much an idle organisation saves up. */
+    public void setMaxCreditTokens(long maxCreditTokens) {
+        rings.values().forEach(ring -> ring.setMaxCreditTokens(maxCreditTokens));
+    }
+
     /** Adds an attempt. */
     public void add(AttemptTicket ticket, long nowMillis) {
         waiting.put(ticket.id(), new Waiting(ticket, nowMillis));
--- a/admission/src/main/java/firwheel/admission/OrganisationRing.java
+++ b/admission/src/main/java/firwheel/admission/OrganisationRing.java
@@ -17,7 +17,7 @@
     private static final int QUANTUM_TOKENS = 1024;
     private static final int MAX_ORGANISATIONS = 1024;
 
-    private final long maxCreditTokens;
+    private long maxCreditTokens;
     private final Map<String, Share> shares = new HashMap<>();
     private final ArrayDeque<Share> active = new ArrayDeque<>();
     private long servedPerShareTokens;
@@ -26,6 +26,10 @@
         this.maxCreditTokens = maxCreditTokens;
     }
 
+    void setMaxCreditTokens(long newMaxCreditTokens) {
+        maxCreditTokens = newMaxCreditTokens;
+    }
+
     void add(AttemptTicket ticket) {
         Share share = shares.computeIfAbsent(ticket.organisation(), name -> new Share());
         if (share.waiting.isEmpty()) {
--- a/admission/src/main/java/firwheel/admission/StreamBuffer.java
+++ b/admission/src/main/java/firwheel/admission/StreamBuffer.java
@@ -17,6 +17,7 @@
     private long firstHeldSequence;
     private long nextSequence;
     private long heldBytes;
+    private @Nullable StreamHead head;
     private @Nullable StreamEnd end;
 
     /** Creates an empty buffer that counts as full from {@code maxBytes} on. */
@@ -24,6 +25,16 @@
         this.maxBytes = maxBytes;
     }
 
+    /** Sets the start of the answer. */
+    public void setHead(StreamHead newHead) {
+        head = newHead;
+    }
+
+    /** Returns the start of the answer, or null before it is known. */
+    public @Nullable StreamHead head() {
+        return head;
+    }
+
     /** Appends the next chunk and returns it with its sequence number. */
     public StreamChunk append(byte[] payload) {
         if (end != null) {
--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -1,15 +1,13 @@
 package firwheel.agent;
 
 import firwheel.admin.AdminServer;
-import firwheel.model.AttemptId;
+import firwheel.admission.GateLoad;
 import firwheel.model.EventCode;
 import firwheel.model.Events;
 import firwheel.model.Futures;
 import firwheel.model.ResultCode;
-import firwheel.model.RowState;
 import firwheel.model.TableSnapshot;
-import firwheel.model.TargetKind;
-import firwheel.model.TargetRow;
+import firwheel.model.TimeSource;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
 import firwheel.wire.LinkEndpoint;
@@ -26,11 +24,11 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.net.NetServer;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Optional;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -41,6 +39,9 @@
  * one event loop.
  */
 public final class AgentServer {
+    private static final long TICK_MILLIS = 50;
+    private static final long CLOCK_MILLIS = 1_000;
+    private static final long FLUSH_MILLIS = 200;
     private static final int MAX_TARGET_CONNECTIONS = 1_024;
     private static final Logger logger = LoggerFactory.getLogger(AgentServer.class);
 
@@ -49,7 +50,9 @@
     private final AgentSettings settings;
     private final Supplier<TableSnapshot> table;
     private final long incarnation = new SplittableRandom().nextLong();
-    private final Map<AttemptId, AttemptExecution> running = new HashMap<>();
+    private final TimeSource time = TimeSource.system();
+    private final AttemptHandler attempts;
+    private final Set<Link> links = new HashSet<>();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter dispatches = Counter.builder()
             .name("firwheel_agent_dispatches_total")
@@ -67,6 +70,9 @@
         this.settings = settings;
         this.table = table;
         context = vertx.getOrCreateContext();
+        attempts = new AttemptHandler(settings, incarnation, table, time, this::execute, result -> dispatches
+                .labelValues(result)
+                .inc());
         targetClient = vertx.createHttpClient(
                 new HttpClientOptions().setConnectTimeout(1_000),
                 new PoolOptions().setHttp1MaxSize(MAX_TARGET_CONNECTIONS));
@@ -95,15 +101,27 @@
     public CompletableFuture<Void> drain() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         context.runOnContext(ignored -> {
-            Events.log(logger, EventCode.PROCESS_DRAINING, "row", settings.row(), "running", running.size());
+            Events.log(
+                    logger,
+                    EventCode.PROCESS_DRAINING,
+                    "row",
+                    settings.row(),
+                    "running",
+                    attempts.load().inFlight());
             draining = true;
             drained = done;
+            attempts.drain();
             vertx.setTimer(Math.max(1, settings.drainLimitMillis()), timer -> cutRemaining());
             completeDrain();
         });
         return done;
     }
 
+    /** Ends the drain at once: what still runs gets an explicit failure. */
+    public void cutDrain() {
+        context.runOnContext(ignored -> cutRemaining());
+    }
+
     private CompletableFuture<?> listen() {
         LinkIdentity identity = new LinkIdentity(
                 settings.ip() + ":" + settings.port(), settings.availabilityZone(), "agent", incarnation);
@@ -116,6 +134,8 @@
                 })
                 .thenAccept(server -> {
                     adminServer = server;
+                    vertx.setPeriodic(TICK_MILLIS, timer -> tick());
+                    vertx.setPeriodic(CLOCK_MILLIS, timer -> sendClock());
                     Events.log(logger, EventCode.PROCESS_STARTED, "role", "agent", "row", settings.row());
                 });
     }
@@ -131,83 +151,68 @@
                 settings.row(),
                 settings.rank(),
                 table.get().revision(),
-                running.size(),
+                attempts.load().inFlight(),
                 draining);
     }
 
     private void onLink(Link link) {
+        links.add(link);
         link.onMessage(message -> onMessage(link, message));
+        link.onClose(() -> {
+            links.remove(link);
+            attempts.onLinkClosed(link);
+        });
+        link.send(new LoadMessage.Clock(time.monotonicMillis()));
     }
 
     private void onMessage(Link link, Message message) {
-        if (message instanceof AttemptMessage.Dispatch dispatch) {
-            onDispatch(link, dispatch);
-        } else if (message instanceof AttemptMessage.Credit credit) {
-            AttemptExecution execution = running.get(credit.attempt());
-            if (execution != null) {
-                execution.addCredits(credit.chunks());
-            }
-        } else if (message instanceof AttemptMessage.Cancel cancel) {
-            AttemptExecution execution = running.get(cancel.attempt());
-            if (execution != null) {
-                execution.cancel();
-            }
+        if (message instanceof AttemptMessage attemptMessage) {
+            attempts.onMessage(link, attemptMessage);
+            completeDrain();
         } else if (message instanceof LoadMessage.Probe probe) {
             link.send(report(probe.probeId()));
         }
     }
 
     private LoadMessage.Report report(long probeId) {
-        return new LoadMessage.Report(probeId, settings.row(), settings.rank(), 0, running.size(), 0, 0);
+        GateLoad load = attempts.load();
+        return new LoadMessage.Report(
+                probeId, settings.row(), settings.rank(), load.outstandingTokens(), load.inFlight(), load.queued(), 0);
     }
 
-    private void onDispatch(Link link, AttemptMessage.Dispatch dispatch) {
-        Optional<TargetRow> row = table.get().row(settings.row());
-        ResultCode refusal = refusal(dispatch, row);
-        if (refusal != null) {
-            dispatches.labelValues(refusal.label()).inc();
-            link.send(new AttemptMessage.Refused(dispatch.attempt(), refusal.number(), 0, refusal.summary()));
-            return;
-        }
-        dispatches.labelValues("admitted").inc();
-        boolean model = row.orElseThrow().kind() == TargetKind.MODEL;
-        AttemptExecution execution =
-                new AttemptExecution(vertx, dispatch, model, link::send, () -> onOver(dispatch.attempt()));
-        running.put(dispatch.attempt(), execution);
-        execution.start(targetClient, settings.targetIp(), settings.targetPort());
+    private AttemptExecution execute(
+            AttemptMessage.Dispatch dispatch,
+            boolean model,
+            AttemptStream stream,
+            Consumer<@Nullable ResultCode> onOver) {
+        AttemptExecution execution = new AttemptExecution(vertx, dispatch, model, stream, onOver);
+        long remainingMillis = dispatch.deadlineMillis() - time.monotonicMillis();
+        execution.start(targetClient, settings.targetIp(), settings.targetPort(), remainingMillis);
+        return execution;
     }
 
-    private @Nullable ResultCode refusal(AttemptMessage.Dispatch dispatch, Optional<TargetRow> row) {
-        if (draining) {
-            return ResultCode.DRAINING;
-        }
-        if (dispatch.agentIncarnation() != incarnation) {
-            return ResultCode.WRONG_INCARNATION;
-        }
-        if (dispatch.remainingMillis() <= 0) {
-            return ResultCode.DEADLINE_TOO_SHORT;
-        }
-        if (row.isEmpty() || row.get().state() != RowState.SERVING) {
-            return ResultCode.ROW_NOT_SERVING;
-        }
-        return running.size() >= row.get().maxInFlight() ? ResultCode.SATURATED : null;
+    private void tick() {
+        attempts.tick();
+        completeDrain();
     }
 
-    private void onOver(AttemptId attempt) {
-        running.remove(attempt);
-        completeDrain();
+    private void sendClock() {
+        LoadMessage.Clock clock = new LoadMessage.Clock(time.monotonicMillis());
+        links.forEach(link -> link.send(clock));
     }
 
     private void completeDrain() {
-        if (draining && running.isEmpty() && drained != null) {
+        if (draining && drained != null && attempts.idle()) {
             drained.complete(null);
         }
     }
 
+    /** Ends what still runs with an explicit failure; the drain is over then. */
     private void cutRemaining() {
-        if (!running.isEmpty()) {
-            Events.log(logger, EventCode.DRAIN_CUT, "running", running.size());
+        if (!attempts.idle()) {
+            Events.log(logger, EventCode.DRAIN_CUT, "running", attempts.load().inFlight());
+            attempts.cut();
         }
-        Map.copyOf(running).values().forEach(execution -> execution.fail(ResultCode.DRAIN_LIMIT, "the agent stopped"));
+        vertx.setTimer(FLUSH_MILLIS, ignored -> completeDrain());
     }
 }
--- a/agent/src/main/java/firwheel/agent/AttemptExecution.java
+++ b/agent/src/main/java/firwheel/agent/AttemptExecution.java
@@ -1,6 +1,6 @@
 package firwheel.agent;
 
-import firwheel.model.AttemptId;
+import firwheel.admission.StreamHead;
 import firwheel.model.ResultCode;
 import firwheel.wire.AttemptMessage;
 import io.vertx.core.Vertx;
@@ -15,7 +15,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.function.Consumer;
-import java.util.zip.CRC32C;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,15 +33,13 @@
     private final Vertx vertx;
     private final AttemptMessage.Dispatch dispatch;
     private final boolean model;
-    private final Consumer<AttemptMessage> out;
-    private final Runnable onOver;
-    private final CRC32C checksum = new CRC32C();
+    private final AttemptStream stream;
+    private final Consumer<@Nullable ResultCode> onOver;
     private @Nullable HttpClientRequest targetRequest;
     private @Nullable ReadStream<Buffer> source;
-    private long nextSequence;
-    private int credits;
     private boolean lastEventTerminates;
     private boolean eventStream;
+    private boolean waitingForRoom;
     private boolean over;
     private long deadlineTimer;
 
@@ -50,20 +47,19 @@
             Vertx vertx,
             AttemptMessage.Dispatch dispatch,
             boolean model,
-            Consumer<AttemptMessage> out,
-            Runnable onOver) {
+            AttemptStream stream,
+            Consumer<@Nullable ResultCode> onOver) {
         this.vertx = vertx;
         this.dispatch = dispatch;
         this.model = model;
-        this.out = out;
+        this.stream = stream;
         this.onOver = onOver;
-        credits = dispatch.creditChunks();
     }
 
     /** Sends the request to the target. */
-    void start(HttpClient client, String targetIp, int targetPort) {
+    void start(HttpClient client, String targetIp, int targetPort, long remainingMillis) {
         deadlineTimer = vertx.setTimer(
-                Math.max(1, dispatch.remainingMillis()),
+                Math.max(1, remainingMillis),
                 ignored -> fail(ResultCode.DEADLINE_PASSED, "deadline passed at the agent"));
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.valueOf(dispatch.method()))
@@ -75,17 +71,17 @@
                 .onFailure(error -> refuse(ResultCode.TARGET_UNREACHABLE, String.valueOf(error.getMessage())));
     }
 
-    /** Lets the attempt send more pieces. */
-    void addCredits(int chunks) {
-        credits += chunks;
-        if (source != null) {
-            source.fetch(chunks);
+    /** Reads on from the target where reading had stopped for lack of room. */
+    void readOn() {
+        if (waitingForRoom && source != null && !stream.full()) {
+            waitingForRoom = false;
+            source.fetch(1);
         }
     }
 
     /** Gives the attempt up because its caller has left; the target is told by a reset stream. */
     void cancel() {
-        end();
+        end(ResultCode.STREAM_BROKEN);
         resetTarget();
     }
 
@@ -94,8 +90,8 @@
         if (over) {
             return;
         }
-        out.accept(new AttemptMessage.Failed(dispatch.attempt(), code.number(), detail));
-        end();
+        stream.fail(code, detail);
+        end(code);
         resetTarget();
     }
 
@@ -132,14 +128,14 @@
         String contentType = response.getHeader("Content-Type");
         String type = contentType == null ? "application/octet-stream" : contentType;
         eventStream = type.startsWith(EVENT_STREAM);
-        out.accept(new AttemptMessage.Head(dispatch.attempt(), status, type));
-        ReadStream<Buffer> stream = eventStream ? RecordParser.newDelimited(EVENT_DELIMITER, response) : response;
-        stream.pause();
-        source = stream;
-        stream.exceptionHandler(error -> fail(ResultCode.STREAM_BROKEN, "target broke off: " + error.getMessage()));
-        stream.endHandler(ignored -> onEnd());
-        stream.handler(this::onPiece);
-        stream.fetch(credits);
+        stream.head(new StreamHead(status, type));
+        ReadStream<Buffer> pieces = eventStream ? RecordParser.newDelimited(EVENT_DELIMITER, response) : response;
+        pieces.pause();
+        source = pieces;
+        pieces.exceptionHandler(error -> fail(ResultCode.STREAM_BROKEN, "target broke off: " + error.getMessage()));
+        pieces.endHandler(ignored -> onEnd());
+        pieces.handler(this::onPiece);
+        pieces.fetch(1);
     }
 
     private void onPiece(Buffer piece) {
@@ -147,10 +143,10 @@
             return;
         }
         byte[] data = eventStream ? piece.appendString(EVENT_DELIMITER).getBytes() : piece.getBytes();
-        credits--;
-        checksum.update(data);
         lastEventTerminates = Arrays.equals(data, TERMINATING_EVENT);
-        out.accept(new AttemptMessage.Chunk(dispatch.attempt(), nextSequence++, data));
+        stream.append(data);
+        waitingForRoom = true;
+        readOn();
     }
 
     private void onEnd() {
@@ -161,24 +157,24 @@
             fail(ResultCode.STREAM_BROKEN, "event stream ended without its last event");
             return;
         }
-        out.accept(new AttemptMessage.End(dispatch.attempt(), nextSequence, (int) checksum.getValue()));
-        end();
+        stream.finish();
+        end(null);
     }
 
     private void refuse(ResultCode code, String detail) {
         if (over) {
             return;
         }
-        out.accept(new AttemptMessage.Refused(dispatch.attempt(), code.number(), 0, detail));
-        end();
+        stream.refuse(code, detail);
+        end(code);
         resetTarget();
     }
 
-    private void end() {
+    private void end(@Nullable ResultCode failure) {
         if (!over) {
             over = true;
             vertx.cancelTimer(deadlineTimer);
-            onOver.run();
+            onOver.accept(failure);
         }
     }
 
@@ -187,8 +183,4 @@
             targetRequest.reset();
         }
     }
-
-    AttemptId attempt() {
-        return dispatch.attempt();
-    }
 }
--- /dev/null
+++ b/agent/src/main/java/firwheel/agent/AttemptHandler.java
@@ -0,0 +1,326 @@
+package firwheel.agent;
+
+import firwheel.admission.AdmissionDecision;
+import firwheel.admission.AdmissionGate;
+import firwheel.admission.AdmissionLimits;
+import firwheel.admission.AttemptRecords;
+import firwheel.admission.AttemptTicket;
+import firwheel.admission.FenceAnswer;
+import firwheel.admission.GateListener;
+import firwheel.admission.GateLoad;
+import firwheel.admission.RecordLimits;
+import firwheel.admission.StreamBuffer;
+import firwheel.model.AttemptId;
+import firwheel.model.Priority;
+import firwheel.model.ResultCode;
+import firwheel.model.RowState;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import firwheel.model.TimeSource;
+import firwheel.wire.AttemptMessage;
+import firwheel.wire.AttemptMessage.FenceState;
+import firwheel.wire.Link;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Turns the messages of entries into decisions of the gate, and those into executions. Used on the agent's event loop
+ * only.
+ */
+final class AttemptHandler implements GateListener {
+    /** How long an attempt that lost its link is kept for its entry to come back. */
+    static final long RESUME_GRACE_MILLIS = 15_000;
+
+    private static final int MAX_STREAM_BYTES = 256 << 10;
+    private static final AdmissionLimits NO_LIMITS_YET = new AdmissionLimits(1, 0, 1, 0, Duration.ZERO);
+
+    /** Starts an admitted attempt; the callback gets the code of its failure, or null. */
+    interface Starter {
+        /** Starts the attempt on the target. */
+        AttemptExecution start(
+                AttemptMessage.Dispatch dispatch,
+                boolean model,
+                AttemptStream stream,
+                Consumer<@Nullable ResultCode> onOver);
+    }
+
+    private final AgentSettings settings;
+    private final Supplier<TableSnapshot> table;
+    private final TimeSource time;
+    private final Starter starter;
+    private final Consumer<String> countDispatch;
+    private final AdmissionGate gate;
+    private final Map<AttemptId, OpenAttempt> open = new HashMap<>();
+    private @Nullable TableSnapshot appliedTable;
+    private boolean model;
+
+    AttemptHandler(
+            AgentSettings settings,
+            long incarnation,
+            Supplier<TableSnapshot> table,
+            TimeSource time,
+            Starter starter,
+            Consumer<String> countDispatch) {
+        this.settings = settings;
+        this.table = table;
+        this.time = time;
+        this.starter = starter;
+        this.countDispatch = countDispatch;
+        gate = new AdmissionGate(
+                incarnation,
+                RowState.JOINING,
+                NO_LIMITS_YET,
+                new AttemptRecords(RecordLimits.DEFAULT),
+                MAX_STREAM_BYTES,
+                time,
+                this);
+    }
+
+    void onMessage(Link link, AttemptMessage message) {
+        if (message instanceof AttemptMessage.Dispatch dispatch) {
+            onDispatch(link, dispatch);
+        } else if (message instanceof AttemptMessage.Credit credit) {
+            onCredit(credit);
+        } else if (message instanceof AttemptMessage.Received received) {
+            open.remove(received.attempt());
+        } else if (message instanceof AttemptMessage.Cancel cancel) {
+            onCancel(cancel.attempt());
+        } else if (message instanceof AttemptMessage.Fence fence) {
+            onFence(link, fence);
+        } else if (message instanceof AttemptMessage.Resume resume) {
+            onResume(link, resume);
+        }
+    }
+
+    /** Keeps what runs for its entry to come back, and gives up what waits. */
+    void onLinkClosed(Link link) {
+        for (OpenAttempt attempt : List.copyOf(open.values())) {
+            AttemptStream stream = attempt.stream();
+            if (stream == null && link.equals(attempt.firstLink())) {
+                onCancel(attempt.dispatch().attempt());
+            } else if (stream != null && stream.detach(link)) {
+                attempt.detachedAt(time.monotonicMillis());
+            }
+        }
+    }
+
+    /** Applies the table in force and answers what has waited too long. */
+    void tick() {
+        refreshRow();
+        gate.tick();
+        long nowMillis = time.monotonicMillis();
+        for (OpenAttempt attempt : List.copyOf(open.values())) {
+            if (attempt.detachedLongerThan(RESUME_GRACE_MILLIS, nowMillis)) {
+                giveUp(attempt);
+            }
+        }
+    }
+
+    void drain() {
+        gate.drain();
+    }
+
+    /** Returns whether nothing waits, runs or is still to be delivered. */
+    boolean idle() {
+        return gate.idle() && open.isEmpty();
+    }
+
+    /** Ends everything that is left with an explicit failure. */
+    void cut() {
+        for (OpenAttempt attempt : List.copyOf(open.values())) {
+            AttemptExecution execution = attempt.execution();
+            if (execution != null) {
+                execution.fail(ResultCode.DRAIN_LIMIT, "the agent stopped");
+            }
+        }
+        open.clear();
+    }
+
+    GateLoad load() {
+        return gate.load();
+    }
+
+    @Override
+    public void started(AttemptTicket ticket) {
+        OpenAttempt attempt = open.get(ticket.id());
+        if (attempt != null) {
+            start(attempt);
+        }
+    }
+
+    @Override
+    public void refused(AttemptTicket ticket, ResultCode code, Duration retryAfter) {
+        OpenAttempt attempt = open.remove(ticket.id());
+        if (attempt != null) {
+            refuse(attempt.firstLink(), ticket.id(), code, retryAfter);
+        }
+    }
+
+    private void onDispatch(Link link, AttemptMessage.Dispatch dispatch) {
+        refreshRow();
+        AttemptId id = dispatch.attempt();
+        if (!dispatch.row().equals(settings.row()) || dispatch.rank() != settings.rank()) {
+            refuse(link, id, ResultCode.ROW_NOT_SERVING, Duration.ZERO);
+            return;
+        }
+        AdmissionDecision decision = gate.offer(ticket(dispatch));
+        if (decision instanceof AdmissionDecision.Refused refused) {
+            refuse(link, id, refused.code(), refused.retryAfter());
+        } else if (decision instanceof AdmissionDecision.Duplicate) {
+            countDispatch.accept("duplicate");
+        } else {
+            OpenAttempt attempt = new OpenAttempt(dispatch, link);
+            open.put(id, attempt);
+            boolean queued = decision instanceof AdmissionDecision.Queued;
+            countDispatch.accept(queued ? "queued" : "admitted");
+            if (!queued) {
+                start(attempt);
+            }
+        }
+    }
+
+    private void start(OpenAttempt attempt) {
+        AttemptMessage.Dispatch dispatch = attempt.dispatch();
+        StreamBuffer buffer = gate.stream(dispatch.attempt());
+        if (buffer == null) {
+            throw new IllegalStateException("no stream for a running attempt");
+        }
+        AttemptStream stream = new AttemptStream(dispatch.attempt(), buffer);
+        stream.attach(attempt.firstLink(), 0, dispatch.creditChunks());
+        attempt.begin(stream, starter.start(dispatch, model, stream, failure -> onOver(attempt, failure)));
+    }
+
+    private void onOver(OpenAttempt attempt, @Nullable ResultCode failure) {
+        attempt.ended();
+        if (failure != null) {
+            open.remove(attempt.dispatch().attempt());
+        }
+        gate.finish(attempt.dispatch().attempt(), failure);
+    }
+
+    private void onCredit(AttemptMessage.Credit credit) {
+        OpenAttempt attempt = open.get(credit.attempt());
+        if (attempt == null || attempt.stream() == null) {
+            return;
+        }
+        attempt.stream().onCredit(credit);
+        readOn(attempt);
+    }
+
+    private static void readOn(OpenAttempt attempt) {
+        AttemptExecution execution = attempt.execution();
+        if (execution != null) {
+            execution.readOn();
+        }
+    }
+
+    private void onCancel(AttemptId id) {
+        OpenAttempt attempt = open.remove(id);
+        if (attempt == null || gate.cancel(id)) {
+            return;
+        }
+        AttemptExecution execution = attempt.execution();
+        if (execution != null) {
+            execution.cancel();
+        }
+    }
+
+    private void giveUp(OpenAttempt attempt) {
+        AttemptExecution execution = attempt.execution();
+        if (execution == null) {
+            open.remove(attempt.dispatch().attempt());
+        } else if (attempt.dispatch().idempotent()) {
+            execution.cancel();
+        }
+    }
+
+    private void onFence(Link link, AttemptMessage.Fence fence) {
+        FenceAnswer answer = gate.fence(fence.attempt(), fence.agentIncarnation(), fence.admitByMillis());
+        if (answer instanceof FenceAnswer.NeverAdmitted) {
+            open.remove(fence.attempt());
+        }
+        link.send(result(fence.attempt(), answer));
+    }
+
+    private void onResume(Link link, AttemptMessage.Resume resume) {
+        OpenAttempt attempt = open.get(resume.attempt());
+        AttemptStream stream = attempt == null ? endedStream(resume.attempt()) : attempt.stream();
+        if (stream == null || !stream.attach(link, resume.fromSequence(), resume.creditChunks())) {
+            link.send(new AttemptMessage.Failed(
+                    resume.attempt(), ResultCode.STREAM_BROKEN.number(), "the answer is no longer held"));
+        } else if (attempt != null) {
+            readOn(attempt);
+        }
+    }
+
+    private @Nullable AttemptStream endedStream(AttemptId id) {
+        StreamBuffer buffer = gate.stream(id);
+        return buffer == null ? null : new AttemptStream(id, buffer);
+    }
+
+    private static AttemptMessage.FenceResult result(AttemptId id, FenceAnswer answer) {
+        if (answer instanceof FenceAnswer.Running running) {
+            return new AttemptMessage.FenceResult(
+                    id, FenceState.RUNNING, running.firstHeldSequence(), running.nextSequence(), 0);
+        }
+        if (answer instanceof FenceAnswer.Ended ended) {
+            ResultCode failure = ended.failure();
+            int code = failure == null ? 0 : failure.number();
+            return new AttemptMessage.FenceResult(
+                    id, FenceState.ENDED, ended.firstHeldSequence(), ended.chunkCount(), code);
+        }
+        if (answer instanceof FenceAnswer.Unknown unknown) {
+            return new AttemptMessage.FenceResult(
+                    id, FenceState.UNKNOWN, 0, 0, unknown.code().number());
+        }
+        return new AttemptMessage.FenceResult(id, FenceState.NEVER_ADMITTED, 0, 0, 0);
+    }
+
+    private void refuse(Link link, AttemptId id, ResultCode code, Duration retryAfter) {
+        countDispatch.accept(code.label());
+        link.send(new AttemptMessage.Refused(id, code.number(), retryAfter.toMillis(), code.summary()));
+    }
+
+    @SuppressWarnings("ReferenceEquality")
+    private void refreshRow() {
+        TableSnapshot snapshot = table.get();
+        if (snapshot == appliedTable) {
+            return;
+        }
+        appliedTable = snapshot;
+        TargetRow row = snapshot.row(settings.row()).orElse(null);
+        if (row == null) {
+            gate.applyRow(RowState.LEAVING, NO_LIMITS_YET);
+        } else {
+            model = row.kind() == TargetKind.MODEL;
+            gate.applyRow(row.state(), AdmissionLimits.of(row));
+        }
+    }
+
+    private static AttemptTicket ticket(AttemptMessage.Dispatch dispatch) {
+        return new AttemptTicket(
+                dispatch.attempt(),
+                dispatch.agentIncarnation(),
+                dispatch.organisation(),
+                priority(dispatch.priority()),
+                Math.max(1, dispatch.estimatedTokens()),
+                dispatch.body().length,
+                dispatch.admitByMillis(),
+                dispatch.deadlineMillis());
+    }
+
+    private static Priority priority(String name) {
+        for (Priority priority : Priority.values()) {
+            if (priority.name().equals(name)) {
+                return priority;
+            }
+        }
+        return Priority.NORMAL;
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/firwheel/agent/AttemptStream.java
@@ -0,0 +1,129 @@
+package firwheel.agent;
+
+import firwheel.admission.StreamBuffer;
+import firwheel.admission.StreamChunk;
+import firwheel.admission.StreamEnd;
+import firwheel.admission.StreamHead;
+import firwheel.model.AttemptId;
+import firwheel.model.ResultCode;
+import firwheel.wire.AttemptMessage;
+import firwheel.wire.Link;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends the answer of one attempt over whichever link the entry has at present, no faster than the entry grants. While
+ * there is no link the answer gathers in the buffer. Used on the agent's event loop only.
+ */
+final class AttemptStream {
+    private final AttemptId attempt;
+    private final StreamBuffer buffer;
+    private @Nullable Link link;
+    private long credits;
+    private long nextToSend;
+    private boolean headSent;
+    private boolean endSent;
+
+    AttemptStream(AttemptId attempt, StreamBuffer buffer) {
+        this.attempt = attempt;
+        this.buffer = buffer;
+    }
+
+    /** Sends from {@code fromSequence} on over a new link; returns false where that is no longer possible. */
+    boolean attach(Link newLink, long fromSequence, int creditChunks) {
+        if (!buffer.canResumeFrom(fromSequence)) {
+            return false;
+        }
+        buffer.acknowledge(fromSequence);
+        link = newLink;
+        credits = creditChunks;
+        nextToSend = fromSequence;
+        headSent = false;
+        endSent = false;
+        pump();
+        return true;
+    }
+
+    /** Stops sending where {@code lost} is the present link; returns whether it was. */
+    boolean detach(Link lost) {
+        boolean present = lost.equals(link);
+        if (present) {
+            link = null;
+        }
+        return present;
+    }
+
+    void head(StreamHead head) {
+        buffer.setHead(head);
+        pump();
+    }
+
+    void append(byte[] data) {
+        buffer.append(data);
+        pump();
+    }
+
+    void finish() {
+        buffer.finish();
+        pump();
+    }
+
+    /** Notes what the entry has and how much more it wants. */
+    void onCredit(AttemptMessage.Credit credit) {
+        buffer.acknowledge(credit.nextSequence());
+        credits += credit.chunks();
+        pump();
+    }
+
+    boolean full() {
+        return buffer.full();
+    }
+
+    boolean attached() {
+        return link != null;
+    }
+
+    void refuse(ResultCode code, String detail) {
+        send(new AttemptMessage.Refused(attempt, code.number(), 0, detail));
+    }
+
+    void fail(ResultCode code, String detail) {
+        send(new AttemptMessage.Failed(attempt, code.number(), detail));
+    }
+
+    private void pump() {
+        StreamHead head = buffer.head();
+        if (link == null || head == null) {
+            return;
+        }
+        if (!headSent) {
+            headSent = true;
+            send(new AttemptMessage.Head(attempt, head.status(), head.contentType()));
+        }
+        sendChunks();
+        StreamEnd end = buffer.end();
+        if (end != null && !endSent && nextToSend == end.chunkCount()) {
+            endSent = true;
+            send(new AttemptMessage.End(attempt, end.chunkCount(), end.checksum()));
+        }
+    }
+
+    private void sendChunks() {
+        if (credits <= 0 || nextToSend == buffer.nextSequence()) {
+            return;
+        }
+        for (StreamChunk chunk : buffer.from(nextToSend)) {
+            if (credits <= 0) {
+                return;
+            }
+            credits--;
+            nextToSend = chunk.sequence() + 1;
+            send(new AttemptMessage.Chunk(attempt, chunk.sequence(), chunk.payload()));
+        }
+    }
+
+    private void send(AttemptMessage message) {
+        if (link != null) {
+            link.send(message);
+        }
+    }
+}
--- a/entry/src/main/java/firwheel/entry/AgentLink.java
+++ b/entry/src/main/java/firwheel/entry/AgentLink.java
@@ -1,6 +1,8 @@
 package firwheel.entry;
 
+import firwheel.admission.AgentClock;
 import firwheel.model.AttemptId;
+import firwheel.model.TimeSource;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
 import firwheel.wire.LoadMessage;
@@ -8,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
 /** A link to one agent, shared by all attempts of this entry at that agent. Used on the entry's event loop only. */
@@ -22,31 +25,53 @@
     }
 
     private final Link link;
+    private final TimeSource time;
+    private final AgentClock clock = new AgentClock();
+    private final CompletableFuture<AgentLink> ready = new CompletableFuture<>();
     private final Map<AttemptId, Listener> listeners = new HashMap<>();
     private final Consumer<LoadMessage.Report> onReport;
     private final Runnable onForeign;
+    private long heardAtMillis;
 
-    AgentLink(Link link, Consumer<LoadMessage.Report> onReport, Runnable onForeign) {
+    AgentLink(Link link, TimeSource time, Consumer<LoadMessage.Report> onReport, Runnable onForeign) {
         this.link = link;
+        this.time = time;
         this.onReport = onReport;
         this.onForeign = onForeign;
+        heardAtMillis = time.monotonicMillis();
         link.onMessage(this::onMessage);
         link.onClose(this::onClosed);
     }
 
+    /** Returns a future that completes with this link once the agent's clock is known. */
+    CompletableFuture<AgentLink> ready() {
+        return ready;
+    }
+
     /** Returns the incarnation of the agent at the other end. */
     long agentIncarnation() {
         return link.peer().incarnation();
     }
 
+    /** Returns the agent's clock reading that is reached when the own clock shows {@code ownMillis}. */
+    long toAgentMillis(long ownMillis) {
+        return clock.toAgentMillis(ownMillis);
+    }
+
     boolean isClosed() {
         return link.isClosed();
     }
 
-    /** Registers the attempt and sends its dispatch. */
-    void dispatch(AttemptMessage.Dispatch dispatch, Listener listener) {
-        listeners.put(dispatch.attempt(), listener);
-        link.send(dispatch);
+    /** Closes the link where the agent has been silent for longer than {@code millis}. */
+    void closeIfSilentFor(long millis) {
+        if (time.monotonicMillis() - heardAtMillis > millis) {
+            link.close();
+        }
+    }
+
+    /** Passes messages about an attempt to {@code listener} from now on. */
+    void register(AttemptId attempt, Listener listener) {
+        listeners.put(attempt, listener);
     }
 
     /** Sends a message about an attempt. */
@@ -60,6 +85,7 @@
     }
 
     private void onMessage(Message message) {
+        heardAtMillis = time.monotonicMillis();
         if (message instanceof AttemptMessage attemptMessage) {
             Listener listener = listeners.get(attemptMessage.attempt());
             if (listener == null) {
@@ -69,10 +95,14 @@
             }
         } else if (message instanceof LoadMessage.Report report) {
             onReport.accept(report);
+        } else if (message instanceof LoadMessage.Clock reading) {
+            clock.observe(reading.clockMillis(), heardAtMillis);
+            ready.complete(this);
         }
     }
 
     private void onClosed() {
+        ready.completeExceptionally(new IllegalStateException("closed before the agent's clock was known"));
         List<Listener> open = List.copyOf(listeners.values());
         listeners.clear();
         open.forEach(Listener::onLinkLost);
--- a/entry/src/main/java/firwheel/entry/AgentLinks.java
+++ b/entry/src/main/java/firwheel/entry/AgentLinks.java
@@ -1,6 +1,7 @@
 package firwheel.entry;
 
 import firwheel.model.RankAddress;
+import firwheel.model.TimeSource;
 import firwheel.wire.LinkEndpoint;
 import firwheel.wire.LoadMessage;
 import java.util.HashMap;
@@ -10,13 +11,17 @@
 
 /** Links to agents, opened on first use and kept. Used on the entry's event loop only. */
 final class AgentLinks {
+    private static final long MAX_SILENCE_MILLIS = 4_000;
+
     private final LinkEndpoint endpoint;
+    private final TimeSource time;
     private final Consumer<LoadMessage.Report> onReport;
     private final Runnable onForeign;
     private final Map<String, CompletableFuture<AgentLink>> links = new HashMap<>();
 
-    AgentLinks(LinkEndpoint endpoint, Consumer<LoadMessage.Report> onReport, Runnable onForeign) {
+    AgentLinks(LinkEndpoint endpoint, TimeSource time, Consumer<LoadMessage.Report> onReport, Runnable onForeign) {
         this.endpoint = endpoint;
+        this.time = time;
         this.onReport = onReport;
         this.onForeign = onForeign;
     }
@@ -28,11 +33,21 @@
             return present;
         }
         CompletableFuture<AgentLink> opened = endpoint.connect(address.ip(), address.port())
-                .thenApply(link -> new AgentLink(link, onReport, onForeign));
+                .thenCompose(link -> new AgentLink(link, time, onReport, onForeign).ready());
         links.put(address.endpoint(), opened);
         return opened;
     }
 
+    /** Closes links whose agent is silent. To be called about once a second. */
+    void closeSilent() {
+        for (CompletableFuture<AgentLink> link : links.values()) {
+            if (link.isDone() && !isGone(link)) {
+                link.join().closeIfSilentFor(MAX_SILENCE_MILLIS);
+            }
+        }
+        links.values().removeIf(AgentLinks::isGone);
+    }
+
     private static boolean isGone(CompletableFuture<AgentLink> link) {
         return link.isCompletedExceptionally() || (link.isDone() && link.join().isClosed());
     }
--- a/entry/src/main/java/firwheel/entry/AnswerWriter.java
+++ b/entry/src/main/java/firwheel/entry/AnswerWriter.java
@@ -6,11 +6,13 @@
 import firwheel.model.Events;
 import firwheel.model.FirwheelException;
 import firwheel.model.Outcome;
+import io.vertx.core.AsyncResult;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,6 +33,7 @@
     private final EntryMetrics metrics;
     private boolean streaming;
     private boolean over;
+    private final CompletableFuture<Void> written = new CompletableFuture<>();
 
     AnswerWriter(HttpServerRequest request, String requestId, EntryMetrics metrics) {
         this.metrics = metrics;
@@ -50,9 +53,15 @@
         return streaming || over;
     }
 
+    /** Returns a future that completes when the answer has been handed to the network or the caller has left. */
+    CompletableFuture<Void> written() {
+        return written;
+    }
+
     /** Sets what runs when the caller leaves before the answer has ended. */
     void onDeparture(Runnable handler) {
         response.closeHandler(ignored -> {
+            written.complete(null);
             if (!over) {
                 over = true;
                 handler.run();
@@ -70,7 +79,8 @@
         response.setStatusCode(status)
                 .putHeader(OUTCOME, Outcome.COMPLETE.label())
                 .putHeader("Content-Type", contentType)
-                .end(body);
+                .end(body)
+                .onComplete(this::onWritten);
     }
 
     /** Starts a stream. Its outcome follows in a trailer. */
@@ -108,7 +118,7 @@
         if (!isOver()) {
             over = true;
             metrics.countAnswer(Outcome.COMPLETE, "");
-            response.putTrailer(OUTCOME, Outcome.COMPLETE.label()).end();
+            response.putTrailer(OUTCOME, Outcome.COMPLETE.label()).end().onComplete(this::onWritten);
         }
     }
 
@@ -136,12 +146,26 @@
         response.setStatusCode(failure.code().httpStatus())
                 .putHeader(OUTCOME, failure.code().outcome().label())
                 .putHeader("Content-Type", "application/json")
-                .end(errorBody(failure).toString());
+                .end(errorBody(failure).toString())
+                .onComplete(this::onWritten);
     }
 
     private void breakStream(FirwheelException failure) {
-        response.write("event: error\ndata: " + errorBody(failure) + "\n\n")
-                .onComplete(ignored -> request.connection().close());
+        if (response.writeQueueFull()) {
+            close();
+            return;
+        }
+        response.write("event: error\ndata: " + errorBody(failure) + "\n\n").onComplete(ignored -> close());
+    }
+
+    /** Aborts the connection. A caller that does not read would never see the error event. */
+    private void close() {
+        request.connection().close();
+        written.complete(null);
+    }
+
+    private void onWritten(AsyncResult<Void> ignored) {
+        written.complete(null);
     }
 
     private ObjectNode errorBody(FirwheelException failure) {
--- /dev/null
+++ b/entry/src/main/java/firwheel/entry/AttemptExchange.java
@@ -0,0 +1,213 @@
+package firwheel.entry;
+
+import firwheel.admission.FenceAnswer;
+import firwheel.admission.StreamAssembler;
+import firwheel.admission.StreamChunk;
+import firwheel.admission.StreamEnd;
+import firwheel.admission.StreamHead;
+import firwheel.admission.StreamVerdict;
+import firwheel.model.AttemptId;
+import firwheel.model.RankAddress;
+import firwheel.model.RankKey;
+import firwheel.model.ResultCode;
+import firwheel.wire.AttemptMessage;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+
+/** Messages between the entry and the agent of one attempt, over as many links as it takes. */
+final class AttemptExchange implements AgentLink.Listener {
+    private static final int CREDIT_CHUNKS = 64;
+    private static final long ADMIT_WINDOW_MILLIS = 5_000;
+    private static final long AGENT_HEADROOM_MILLIS = 100;
+    private static final long FENCE_TIMEOUT_MILLIS = 1_000;
+    private static final long FENCE_RETRY_MILLIS = 250;
+
+    /** Hears what the agent says of the attempt. */
+    interface Events {
+        void onRefused(AttemptExchange exchange, ResultCode code, Duration retryAfter);
+
+        void onHead(StreamHead head);
+
+        void onChunk(AttemptExchange exchange, StreamChunk chunk);
+
+        void onEnd(AttemptExchange exchange, StreamVerdict verdict);
+
+        void onFailed(AttemptExchange exchange, ResultCode code);
+
+        void onFenceAnswer(AttemptExchange exchange, FenceAnswer answer);
+
+        void onFenceUnanswered(AttemptExchange exchange);
+
+        void onLost(AttemptExchange exchange);
+    }
+
+    private final AttemptId id;
+    private final RankKey key;
+    private final RankAddress address;
+    private final RunContext context;
+    private final Events events;
+    private final StreamAssembler assembler;
+    private @Nullable AgentLink link;
+    private long incarnation;
+    private long admitByMillis;
+    private int fences;
+    private int withheldCredits;
+    private boolean over;
+
+    AttemptExchange(AttemptId id, RankKey key, RankAddress address, RunContext context, Events events) {
+        this.id = id;
+        this.key = key;
+        this.address = address;
+        this.context = context;
+        this.events = events;
+        assembler = new StreamAssembler(id);
+    }
+
+    AttemptId id() {
+        return id;
+    }
+
+    RankKey key() {
+        return key;
+    }
+
+    /** Sends the request. The agent gets a little less time than the caller allows, so that its refusal arrives. */
+    void dispatch(AgentLink newLink, CallerRequest request, boolean idempotent, long deadlineMillis) {
+        long nowMillis = context.time().monotonicMillis();
+        link = newLink;
+        incarnation = newLink.agentIncarnation();
+        admitByMillis = newLink.toAgentMillis(nowMillis) + ADMIT_WINDOW_MILLIS;
+        newLink.register(id, this);
+        newLink.send(new AttemptMessage.Dispatch(
+                id,
+                incarnation,
+                key.row(),
+                key.rank(),
+                request.organisation(),
+                request.priority().name(),
+                idempotent,
+                request.method(),
+                request.targetPath(),
+                request.contentType(),
+                request.idempotencyKey(),
+                request.body(),
+                newLink.toAgentMillis(deadlineMillis) - AGENT_HEADROOM_MILLIS,
+                request.estimatedTokens(),
+                CREDIT_CHUNKS,
+                admitByMillis));
+    }
+
+    /** Asks the agent what became of the attempt, over a new link where need be. */
+    void fence() {
+        int serial = ++fences;
+        var unused = context.links().link(address).whenComplete((newLink, error) -> {
+            if (over || serial != fences) {
+                return;
+            }
+            if (error == null) {
+                link = newLink;
+                newLink.register(id, this);
+                newLink.send(new AttemptMessage.Fence(id, incarnation, admitByMillis));
+            }
+            long waitMillis = error == null ? FENCE_TIMEOUT_MILLIS : FENCE_RETRY_MILLIS;
+            context.vertx().setTimer(waitMillis, timer -> {
+                if (!over && serial == fences) {
+                    events.onFenceUnanswered(this);
+                }
+            });
+        });
+    }
+
+    /** Asks for the rest of the stream. */
+    void resume(long fromSequence) {
+        send(new AttemptMessage.Resume(id, fromSequence, CREDIT_CHUNKS));
+    }
+
+    /** Grants the agent one more piece for the one just taken, once the caller has room for it. */
+    void grant(AnswerWriter answer) {
+        withheldCredits++;
+        if (!answer.isFull()) {
+            sendCredits();
+        } else if (withheldCredits == 1) {
+            answer.onDrain(this::sendCredits);
+        }
+    }
+
+    /** Ends the exchange; the agent is told that the answer has arrived. */
+    void received() {
+        send(new AttemptMessage.Received(id));
+        close();
+    }
+
+    /** Ends the exchange; the agent is told to give the attempt up. */
+    void cancel() {
+        send(new AttemptMessage.Cancel(id));
+        close();
+    }
+
+    /** Ends the exchange without a word. */
+    void close() {
+        over = true;
+        if (link != null) {
+            link.forget(id);
+        }
+    }
+
+    @Override
+    public void onMessage(AttemptMessage message) {
+        if (message instanceof AttemptMessage.Head head) {
+            events.onHead(new StreamHead(head.status(), head.contentType()));
+        } else if (message instanceof AttemptMessage.Chunk chunk) {
+            onChunk(new StreamChunk(chunk.sequence(), chunk.data()));
+        } else if (message instanceof AttemptMessage.End end) {
+            events.onEnd(this, assembler.end(id, new StreamEnd(end.chunkCount(), end.crc32c())));
+        } else if (message instanceof AttemptMessage.Refused refused) {
+            Duration retryAfter = Duration.ofMillis(refused.retryAfterMillis());
+            events.onRefused(this, ResultCode.ofNumber(refused.code()), retryAfter);
+        } else if (message instanceof AttemptMessage.Failed failed) {
+            events.onFailed(this, ResultCode.ofNumber(failed.code()));
+        } else if (message instanceof AttemptMessage.FenceResult result) {
+            fences++;
+            events.onFenceAnswer(this, answer(result));
+        }
+    }
+
+    @Override
+    public void onLinkLost() {
+        if (!over) {
+            link = null;
+            events.onLost(this);
+        }
+    }
+
+    private void onChunk(StreamChunk chunk) {
+        if (assembler.accept(id, chunk)) {
+            events.onChunk(this, chunk);
+        } else {
+            context.onDroppedFrame().run();
+        }
+    }
+
+    private void sendCredits() {
+        if (!over && withheldCredits > 0) {
+            send(new AttemptMessage.Credit(id, withheldCredits, assembler.nextSequence()));
+            withheldCredits = 0;
+        }
+    }
+
+    private void send(AttemptMessage message) {
+        if (link != null) {
+            link.send(message);
+        }
+    }
+
+    private static FenceAnswer answer(AttemptMessage.FenceResult result) {
+        ResultCode code = result.code() == 0 ? null : ResultCode.ofNumber(result.code());
+        return switch (result.state()) {
+            case NEVER_ADMITTED -> new FenceAnswer.NeverAdmitted();
+            case RUNNING -> new FenceAnswer.Running(result.firstHeldSequence(), result.nextSequence());
+            case ENDED -> new FenceAnswer.Ended(result.firstHeldSequence(), result.nextSequence(), code);
+            case UNKNOWN -> new FenceAnswer.Unknown(code == null ? ResultCode.OUTCOME_UNKNOWN : code);
+        };
+    }
+}
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -1,15 +1,18 @@
 package firwheel.entry;
 
 import firwheel.admin.AdminServer;
+import firwheel.admission.ClaimService;
+import firwheel.model.AttemptId;
 import firwheel.model.EventCode;
 import firwheel.model.Events;
-import firwheel.model.FirwheelException;
 import firwheel.model.Futures;
 import firwheel.model.RankKey;
-import firwheel.model.ResultCode;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
+import firwheel.platform.HttpPlatform;
+import firwheel.platform.TableService;
 import firwheel.routing.RankLoad;
+import firwheel.routing.RetryBudget;
 import firwheel.routing.RoutingPolicy;
 import firwheel.routing.RoutingView;
 import firwheel.wire.LinkEndpoint;
@@ -19,6 +22,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import java.net.URI;
+import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -30,6 +36,11 @@
 
 /** The process that takes requests from callers. One event loop carries its traffic. */
 public final class EntryServer {
+    private static final long LINK_CHECK_MILLIS = 1_000;
+    private static final long FLUSH_MILLIS = 500;
+    private static final double RETRIES_PER_SUCCESS = 0.1;
+    private static final double MAX_SAVED_RETRIES = 20;
+    private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int IDLE_CONNECTION_SECONDS = 900;
     private static final Logger logger = LoggerFactory.getLogger(EntryServer.class);
@@ -41,10 +52,11 @@
     private final RoutingPolicy policy;
     private final TimeSource time = TimeSource.system();
     private final EntryMetrics metrics = new EntryMetrics();
+    private final SecureRandom tokenRandom = new SecureRandom();
     private final SplittableRandom random = new SplittableRandom();
     private final long incarnation = random.nextLong();
     private final Set<RequestRun> running = new HashSet<>();
-    private @Nullable AgentLinks links;
+    private @Nullable RunContext runContext;
     private @Nullable HttpServer callerServer;
     private @Nullable HttpServer adminServer;
     private boolean draining;
@@ -90,11 +102,27 @@
         return done;
     }
 
+    /** Ends the drain at once: what still runs gets an explicit failure. */
+    public void cutDrain() {
+        context.runOnContext(ignored -> cutRemaining());
+    }
+
     private CompletableFuture<?> listen() {
         LinkIdentity identity = new LinkIdentity(
                 settings.ip() + ":" + settings.port(), settings.availabilityZone(), "entry", incarnation);
         LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
-        links = new AgentLinks(endpoint, report -> {}, metrics::countForeignFrame);
+        AgentLinks links = new AgentLinks(endpoint, time, report -> {}, metrics::countForeignFrame);
+        vertx.setPeriodic(LINK_CHECK_MILLIS, timer -> links.closeSilent());
+        runContext = new RunContext(
+                vertx,
+                links,
+                policy,
+                this::view,
+                claims(),
+                new RetryBudget(RETRIES_PER_SUCCESS, MAX_SAVED_RETRIES),
+                time,
+                random,
+                metrics::countForeignFrame);
         CallerHandler handler = new CallerHandler(vertx, settings, table, this::run, () -> draining, metrics);
         AdminServer admin = new AdminServer(metrics.registry(), this::ready, this::status);
         return vertx.createHttpServer(serverOptions())
@@ -119,12 +147,22 @@
                 .setTcpNoDelay(true);
     }
 
+    private ClaimService claims() {
+        TableService platform = new HttpPlatform(vertx, URI.create(settings.platformUrl()), PLATFORM_TIMEOUT);
+        return new ClaimService(
+                platform,
+                task -> context.runOnContext(ignored -> task.run()),
+                (delay, task) -> vertx.setTimer(Math.max(1, delay.toMillis()), timer -> task.run()),
+                () -> AttemptId.random(tokenRandom::nextLong).toString(),
+                time);
+    }
+
     private void run(CallerRequest request, AnswerWriter answer) {
-        if (links == null) {
+        if (runContext == null) {
             throw new IllegalStateException("not listening");
         }
         RequestRun[] self = new RequestRun[1];
-        RequestRun run = new RequestRun(request, answer, links, policy, view(), time, random, () -> onOver(self[0]));
+        RequestRun run = new RequestRun(request, answer, runContext, () -> onOver(self[0]));
         self[0] = run;
         running.add(run);
         run.start();
@@ -179,7 +217,10 @@
         if (!running.isEmpty()) {
             Events.log(logger, EventCode.DRAIN_CUT, "running", running.size());
         }
-        Set.copyOf(running)
-                .forEach(run -> run.abort(new FirwheelException(ResultCode.DRAIN_LIMIT, "the entry stopped")));
+        Set.copyOf(running).forEach(RequestRun::cut);
+        vertx.setTimer(FLUSH_MILLIS, ignored -> {
+            running.clear();
+            completeDrain();
+        });
     }
 }
--- a/entry/src/main/java/firwheel/entry/RequestRun.java
+++ b/entry/src/main/java/firwheel/entry/RequestRun.java
@@ -1,298 +1,274 @@
 package firwheel.entry;
 
+import firwheel.admission.AttemptLifecycle;
+import firwheel.admission.Claim;
+import firwheel.admission.ClaimOutcome;
+import firwheel.admission.ClaimRequest;
+import firwheel.admission.FenceAnswer;
+import firwheel.admission.LifecycleAction;
+import firwheel.admission.RecordedAnswer;
+import firwheel.admission.RequestTraits;
+import firwheel.admission.StreamChunk;
+import firwheel.admission.StreamHead;
+import firwheel.admission.StreamVerdict;
 import firwheel.model.AttemptId;
 import firwheel.model.FirwheelException;
 import firwheel.model.Outcome;
 import firwheel.model.RankKey;
 import firwheel.model.ResultCode;
-import firwheel.model.TargetRow;
-import firwheel.model.TimeSource;
 import firwheel.routing.RouteDecision;
 import firwheel.routing.RouteRequest;
-import firwheel.routing.RoutingPolicy;
 import firwheel.routing.RoutingView;
-import firwheel.wire.AttemptMessage;
 import io.vertx.core.buffer.Buffer;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.zip.CRC32C;
+import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
 
-/**
- * Runs one caller's request: chooses a rank, dispatches, passes the answer on, and tries another rank only where the
- * attempt provably did not run, or the request is idempotent and nothing has reached the caller.
- */
-final class RequestRun {
-    private static final int MAX_ATTEMPTS = 3;
-    private static final int CREDIT_CHUNKS = 64;
-    private static final byte[] TERMINATING_EVENT = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
-
+/** Carries out for one caller's request what its lifecycle decides. Used on the entry's event loop only. */
+final class RequestRun implements AttemptExchange.Events {
     private final CallerRequest request;
     private final AnswerWriter answer;
-    private final AgentLinks links;
-    private final RoutingPolicy policy;
-    private final RoutingView view;
-    private final TimeSource time;
-    private final SplittableRandom random;
+    private final AnswerAssembly assembly;
+    private final RunContext context;
     private final Runnable onOver;
-    private final long deadlineNanos;
+    private final boolean idempotent;
+    private final long deadlineMillis;
+    private final AttemptLifecycle lifecycle;
     private final Set<RankKey> excluded = new HashSet<>();
-    private int attempts;
-    private @Nullable Attempt current;
-    private boolean over;
+    private long deadlineTimer;
+    private @Nullable AttemptExchange exchange;
+    private @Nullable Claim claim;
 
-    RequestRun(
-            CallerRequest request,
-            AnswerWriter answer,
-            AgentLinks links,
-            RoutingPolicy policy,
-            RoutingView view,
-            TimeSource time,
-            SplittableRandom random,
-            Runnable onOver) {
+    RequestRun(CallerRequest request, AnswerWriter answer, RunContext context, Runnable onOver) {
         this.request = request;
         this.answer = answer;
-        this.links = links;
-        this.policy = policy;
-        this.view = view;
-        this.time = time;
-        this.random = random;
+        this.context = context;
         this.onOver = onOver;
-        deadlineNanos = time.monotonicNanos() + request.deadline().toNanos();
+        assembly = new AnswerAssembly(answer, request.streaming());
+        idempotent = request.safeMethod() || servedByIdempotentRowsOnly();
+        deadlineMillis = nowMillis() + request.deadline().toMillis();
+        lifecycle = new AttemptLifecycle(
+                new RequestTraits(idempotent, false, deadlineMillis),
+                context.retries()::tryRetry,
+                () -> AttemptId.random(context.random()));
     }
 
-    /** Starts the first attempt. */
+    /** Claims the request's key where it needs one, then starts the first attempt. */
     void start() {
         answer.onDeparture(this::onDeparture);
-        nextAttempt();
-    }
-
-    /** Ends the request with a failure, whatever state it is in. */
-    void abort(FirwheelException reason) {
-        if (over) {
-            return;
-        }
-        if (current != null) {
-            current.abandon();
-        }
-        finish(() -> answer.error(reason));
-    }
-
-    private void nextAttempt() {
-        if (remaining().isNegative()) {
-            finish(() -> answer.error(new FirwheelException(ResultCode.DEADLINE_TOO_SHORT, "no time left")));
+        deadlineTimer = context.vertx()
+                .setTimer(Math.max(1, request.deadline().toMillis()), timer -> act(lifecycle.onDeadline()));
+        if (idempotent || request.idempotencyKey().isEmpty()) {
+            act(lifecycle.start(nowMillis()));
             return;
         }
-        attempts++;
-        RouteDecision decision = policy.choose(routeRequest(), view);
-        if (decision instanceof RouteDecision.Refused refused) {
-            finish(() -> answer.error(
-                    new FirwheelException(refused.code(), refused.code().summary(), refused.retryAfter())));
-        } else if (decision instanceof RouteDecision.Chosen chosen) {
-            connect(chosen);
-        }
-    }
-
-    private RouteRequest routeRequest() {
-        return new RouteRequest(
-                request.kind(),
-                request.servedName(),
-                request.organisation(),
-                request.priority(),
-                List.of(),
-                request.estimatedTokens(),
-                excluded);
+        var unused = context.claims().claim(claimRequest()).thenAccept(this::onClaim);
     }
 
-    private void connect(RouteDecision.Chosen chosen) {
-        var unused = links.link(chosen.address()).whenComplete((link, error) -> {
-            if (over) {
-                return;
-            }
-            if (error != null) {
-                retryOr(chosen.key(), new FirwheelException(ResultCode.TARGET_UNREACHABLE, "no link to the agent"));
-            } else {
-                dispatch(chosen, link);
-            }
-        });
+    /** Ends the request with an explicit failure because this process stops. */
+    void cut() {
+        act(lifecycle.onShutdown());
     }
 
-    private void dispatch(RouteDecision.Chosen chosen, AgentLink link) {
-        Attempt attempt = new Attempt(AttemptId.random(random), chosen.key(), link);
-        current = attempt;
-        link.dispatch(
-                new AttemptMessage.Dispatch(
-                        attempt.id,
-                        link.agentIncarnation(),
-                        chosen.key().row(),
-                        chosen.key().rank(),
-                        request.organisation(),
-                        request.priority().name(),
-                        repeatable(chosen.key()),
-                        request.method(),
-                        request.targetPath(),
-                        request.contentType(),
-                        request.idempotencyKey(),
-                        request.body(),
-                        remaining().toMillis(),
-                        request.estimatedTokens(),
-                        CREDIT_CHUNKS),
-                attempt);
+    @Override
+    public void onRefused(AttemptExchange from, ResultCode code, Duration retryAfter) {
+        excluded.add(from.key());
+        from.close();
+        act(lifecycle.onRefused(from.id(), code, retryAfter, nowMillis()));
     }
 
-    private boolean repeatable(RankKey key) {
-        return request.safeMethod()
-                || view.table().row(key.row()).map(TargetRow::idempotent).orElse(false);
+    @Override
+    public void onHead(StreamHead head) {
+        assembly.head(head);
     }
 
-    private void retryOr(RankKey failed, FirwheelException reason) {
-        current = null;
-        excluded.add(failed);
-        boolean notRun = reason.code().outcome() == Outcome.NOT_RUN;
-        boolean mayRepeat = notRun || repeatable(failed);
-        if (mayRepeat
-                && !answer.started()
-                && attempts < MAX_ATTEMPTS
-                && !remaining().isNegative()) {
-            nextAttempt();
+    @Override
+    public void onChunk(AttemptExchange from, StreamChunk chunk) {
+        boolean toCaller = assembly.piece(chunk.payload());
+        lifecycle.onChunk(from.id(), toCaller);
+        if (assembly.tooLarge()) {
+            from.cancel();
+            act(lifecycle.onTooLarge(from.id()));
         } else {
-            finish(() -> answer.error(reason));
+            from.grant(answer);
         }
     }
 
-    private void onDeparture() {
-        if (current != null) {
-            current.abandon();
-        }
-        finish(() -> {});
+    @Override
+    public void onEnd(AttemptExchange from, StreamVerdict verdict) {
+        act(lifecycle.onEnd(from.id(), verdict, nowMillis()));
     }
 
-    private void finish(Runnable lastStep) {
-        if (!over) {
-            over = true;
-            current = null;
-            lastStep.run();
-            onOver.run();
-        }
+    @Override
+    public void onFailed(AttemptExchange from, ResultCode code) {
+        excluded.add(from.key());
+        from.close();
+        act(lifecycle.onFailed(from.id(), code, nowMillis()));
     }
 
-    private Duration remaining() {
-        return Duration.ofNanos(deadlineNanos - time.monotonicNanos());
+    @Override
+    public void onFenceAnswer(AttemptExchange from, FenceAnswer fenceAnswer) {
+        excluded.add(from.key());
+        act(lifecycle.onFenceAnswer(from.id(), fenceAnswer, nowMillis()));
     }
 
-    /** One dispatched attempt. */
-    private final class Attempt implements AgentLink.Listener {
-        private final AttemptId id;
-        private final RankKey key;
-        private final AgentLink link;
-        private final CRC32C checksum = new CRC32C();
-        private final Buffer body = Buffer.buffer();
-        private AttemptMessage.@Nullable Head head;
-        private @Nullable Buffer terminatingEvent;
-        private long nextSequence;
+    @Override
+    public void onFenceUnanswered(AttemptExchange from) {
+        excluded.add(from.key());
+        act(lifecycle.onFenceUnanswered(from.id(), nowMillis()));
+    }
 
-        Attempt(AttemptId id, RankKey key, AgentLink link) {
-            this.id = id;
-            this.key = key;
-            this.link = link;
-        }
+    @Override
+    public void onLost(AttemptExchange from) {
+        act(lifecycle.onLinkLost(from.id(), nowMillis()));
+    }
 
-        void abandon() {
-            link.forget(id);
-            link.send(new AttemptMessage.Cancel(id));
+    /** A claimed request goes on without its caller, so that a repeat gets the recorded answer. */
+    private void onDeparture() {
+        boolean claimed = !idempotent && !request.idempotencyKey().isEmpty();
+        if (!claimed && !lifecycle.ended()) {
+            lifecycle.onCallerGone();
+            cancelExchange();
+            over(CompletableFuture.completedFuture(true));
         }
+    }
 
-        @Override
-        public void onMessage(AttemptMessage message) {
-            if (current != this) {
-                return;
-            }
-            if (message instanceof AttemptMessage.Head newHead) {
-                onHead(newHead);
-            } else if (message instanceof AttemptMessage.Chunk chunk) {
-                onChunk(chunk);
-            } else if (message instanceof AttemptMessage.End end) {
-                onEnd(end);
-            } else if (message instanceof AttemptMessage.Refused refused) {
-                link.forget(id);
-                retryOr(
-                        key,
-                        new FirwheelException(
-                                ResultCode.ofNumber(refused.code()),
-                                refused.detail(),
-                                Duration.ofMillis(refused.retryAfterMillis())));
-            } else if (message instanceof AttemptMessage.Failed failed) {
-                link.forget(id);
-                retryOr(key, new FirwheelException(ResultCode.ofNumber(failed.code()), failed.detail()));
+    private void onClaim(ClaimOutcome outcome) {
+        if (outcome instanceof ClaimOutcome.Claimed claimed) {
+            claim = claimed.claim();
+            if (lifecycle.ended()) {
+                var unused = context.claims().release(claimed.claim());
+            } else {
+                act(lifecycle.start(nowMillis()));
             }
+        } else if (!lifecycle.ended()) {
+            lifecycle.onCallerGone();
+            answerFromClaim(outcome);
+            over(CompletableFuture.completedFuture(true));
         }
+    }
 
-        @Override
-        public void onLinkLost() {
-            if (current == this) {
-                retryOr(key, new FirwheelException(ResultCode.OUTCOME_UNKNOWN, "link lost after dispatch"));
-            }
+    private void answerFromClaim(ClaimOutcome outcome) {
+        if (outcome instanceof ClaimOutcome.Recorded recorded) {
+            RecordedAnswer kept = recorded.answer();
+            answer.whole(kept.status(), kept.contentType(), Buffer.buffer(kept.body()));
+        } else if (outcome instanceof ClaimOutcome.Refused refused) {
+            answer.error(failure(refused.code(), refused.retryAfter()));
         }
+    }
 
-        private void onHead(AttemptMessage.Head newHead) {
-            head = newHead;
-            if (passThrough()) {
-                answer.startStream(newHead.status(), newHead.contentType());
-            }
+    private void act(LifecycleAction action) {
+        AttemptExchange present = exchange;
+        if (action instanceof LifecycleAction.Dispatch dispatch) {
+            choose(dispatch.attempt());
+        } else if (action instanceof LifecycleAction.Fence && present != null) {
+            present.fence();
+        } else if (action instanceof LifecycleAction.Resume resume && present != null) {
+            present.resume(resume.fromSequence());
+        } else if (action instanceof LifecycleAction.Complete && present != null) {
+            present.received();
+            complete();
+        } else if (action instanceof LifecycleAction.Fail fail) {
+            cancelExchange();
+            answer.error(failure(fail.code(), fail.retryAfter()));
+            over(settleClaim(fail.code()));
         }
+    }
 
-        private boolean passThrough() {
-            return request.streaming() && head != null && head.contentType().startsWith("text/event-stream");
+    private void choose(AttemptId attempt) {
+        assembly.beginAttempt();
+        RouteDecision decision =
+                context.policy().choose(routeRequest(), context.view().get());
+        if (decision instanceof RouteDecision.Refused refused) {
+            act(lifecycle.onNoTarget(attempt, refused.code(), refused.retryAfter()));
+        } else if (decision instanceof RouteDecision.Chosen chosen) {
+            connect(attempt, chosen);
         }
+    }
 
-        private void onChunk(AttemptMessage.Chunk chunk) {
-            if (chunk.sequence() != nextSequence) {
+    private void connect(AttemptId attempt, RouteDecision.Chosen chosen) {
+        AttemptExchange next = new AttemptExchange(attempt, chosen.key(), chosen.address(), context, this);
+        exchange = next;
+        var unused = context.links().link(chosen.address()).whenComplete((link, error) -> {
+            if (lifecycle.ended()) {
                 return;
             }
-            nextSequence++;
-            checksum.update(chunk.data());
-            Buffer data = Buffer.buffer(chunk.data());
-            if (!passThrough()) {
-                body.appendBuffer(data);
-            } else if (Arrays.equals(chunk.data(), TERMINATING_EVENT)) {
-                terminatingEvent = data;
+            if (error != null || nowMillis() >= deadlineMillis) {
+                excluded.add(chosen.key());
+                act(lifecycle.onNotSent(attempt, nowMillis()));
             } else {
-                answer.piece(data);
+                next.dispatch(link, request, idempotent, deadlineMillis);
             }
-            grantCredit();
-        }
+        });
+    }
 
-        private void grantCredit() {
-            if (answer.isFull()) {
-                answer.onDrain(() -> link.send(new AttemptMessage.Credit(id, 1)));
-            } else {
-                link.send(new AttemptMessage.Credit(id, 1));
-            }
+    private void complete() {
+        context.retries().onSuccess();
+        assembly.complete();
+        Claim held = claim;
+        over(
+                held == null
+                        ? CompletableFuture.completedFuture(true)
+                        : context.claims().complete(held, assembly.recorded()));
+    }
+
+    private CompletableFuture<Boolean> settleClaim(ResultCode code) {
+        Claim held = claim;
+        if (held == null) {
+            return CompletableFuture.completedFuture(true);
         }
+        return code.outcome() == Outcome.NOT_RUN
+                ? context.claims().release(held)
+                : context.claims().abandon(held);
+    }
 
-        private void onEnd(AttemptMessage.End end) {
-            link.forget(id);
-            if (end.chunkCount() != nextSequence || end.crc32c() != (int) checksum.getValue() || head == null) {
-                retryOr(key, new FirwheelException(ResultCode.CHECKSUM_MISMATCH, "answer is not whole"));
-                return;
-            }
-            int status = head.status();
-            String contentType = head.contentType();
-            finish(() -> {
-                if (answer.started()) {
-                    if (terminatingEvent != null) {
-                        answer.piece(terminatingEvent);
-                    }
-                    answer.endStream();
-                } else {
-                    answer.whole(status, contentType, body);
-                }
-            });
+    /** The request counts as running until its answer is written and its claim settled. */
+    private void over(CompletableFuture<Boolean> claimSettled) {
+        context.vertx().cancelTimer(deadlineTimer);
+        var unused = CompletableFuture.allOf(claimSettled, answer.written()).whenComplete((done, e) -> onOver.run());
+    }
+
+    private void cancelExchange() {
+        if (exchange != null) {
+            exchange.cancel();
         }
     }
+
+    private RouteRequest routeRequest() {
+        return new RouteRequest(
+                request.kind(),
+                request.servedName(),
+                request.organisation(),
+                request.priority(),
+                List.of(),
+                request.estimatedTokens(),
+                excluded);
+    }
+
+    private ClaimRequest claimRequest() {
+        return new ClaimRequest(
+                request.organisation(),
+                request.servedName(),
+                request.idempotencyKey(),
+                RequestDigest.of(request),
+                context.time().now().plus(request.deadline()));
+    }
+
+    private boolean servedByIdempotentRowsOnly() {
+        RoutingView view = context.view().get();
+        return view.table().rows().stream()
+                .filter(row -> row.serves(request.kind(), request.servedName()))
+                .allMatch(row -> row.idempotent());
+    }
+
+    private static FirwheelException failure(ResultCode code, Duration retryAfter) {
+        return new FirwheelException(code, code.summary(), retryAfter);
+    }
+
+    private long nowMillis() {
+        return context.time().monotonicMillis();
+    }
 }
--- a/model/src/main/java/firwheel/model/ResultCode.java
+++ b/model/src/main/java/firwheel/model/ResultCode.java
@@ -53,6 +53,7 @@
     DRAIN_LIMIT(4004, Outcome.FAILED, 503, "The host stopped before the answer was whole.", "Send it again."),
     CHECKSUM_MISMATCH(4005, Outcome.FAILED, 502, "The answer did not match its checksum.", "Send it again."),
     CALLER_TOO_SLOW(4006, Outcome.FAILED, 408, "The caller stopped reading.", "Read faster."),
+    ANSWER_TOO_LARGE(4007, Outcome.FAILED, 502, "The answer is too large to be passed on whole.", "Ask for a stream."),
     INTERNAL(4999, Outcome.FAILED, 500, "Internal error.", "Report it with the request id."),
 
     TABLE_SYNTAX(5001, Outcome.NOT_RUN, 400, "The table file cannot be read.", "Correct the line."),
--- a/wire/src/main/java/firwheel/wire/AttemptMessage.java
+++ b/wire/src/main/java/firwheel/wire/AttemptMessage.java
@@ -23,9 +23,10 @@
      * @param contentType content type of the body
      * @param idempotencyKey key that the caller gave, or empty
      * @param body body of the request
-     * @param remainingMillis time left until the caller's deadline
+     * @param deadlineMillis reading of the agent's clock at which the caller's deadline passes
      * @param estimatedTokens estimated prompt and output tokens
      * @param creditChunks chunks that the agent may send before it is granted more
+     * @param admitByMillis reading of the agent's clock until which the attempt may be received
      */
     record Dispatch(
             AttemptId attempt,
@@ -40,9 +41,10 @@
             String contentType,
             String idempotencyKey,
             byte[] body,
-            long remainingMillis,
+            long deadlineMillis,
             int estimatedTokens,
-            int creditChunks)
+            int creditChunks,
+            long admitByMillis)
             implements AttemptMessage {}
 
     /**
@@ -92,27 +94,52 @@
     record Failed(AttemptId attempt, int code, String detail) implements AttemptMessage {}
 
     /**
-     * Allows the agent to send more pieces.
+     * Says which pieces the entry has, and allows the agent to send more.
      *
      * @param attempt the attempt
      * @param chunks pieces granted on top of earlier grants
+     * @param nextSequence first piece that the entry does not have; the agent may forget those before it
      */
-    record Credit(AttemptId attempt, int chunks) implements AttemptMessage {}
+    record Credit(AttemptId attempt, int chunks, long nextSequence) implements AttemptMessage {}
+
+    /** Says that the entry has judged the answer whole; the agent may forget it. */
+    record Received(AttemptId attempt) implements AttemptMessage {}
 
     /** Tells the agent that the caller has left. */
     record Cancel(AttemptId attempt) implements AttemptMessage {}
 
-    /** Asks what became of an attempt, and forbids that it starts later. */
-    record Fence(AttemptId attempt) implements AttemptMessage {}
+    /**
+     * Asks what became of an attempt, and forbids that it starts later.
+     *
+     * @param attempt the attempt
+     * @param agentIncarnation incarnation of the agent that it was meant for
+     * @param admitByMillis reading of the agent's clock until which the attempt may be received
+     */
+    record Fence(AttemptId attempt, long agentIncarnation, long admitByMillis) implements AttemptMessage {}
 
     /**
      * Answers {@link Fence}.
      *
      * @param attempt the attempt
-     * @param state name of the agent's record state
-     * @param nextSequence first sequence number that the agent has not yet produced
+     * @param state what the agent knows
+     * @param firstHeldSequence first piece that can still be sent
+     * @param nextSequence first piece that the agent has not yet produced
+     * @param code number of the {@link firwheel.model.ResultCode} of a failure or of an unknown outcome, or 0
      */
-    record FenceResult(AttemptId attempt, String state, long nextSequence) implements AttemptMessage {}
+    record FenceResult(AttemptId attempt, FenceState state, long firstHeldSequence, long nextSequence, int code)
+            implements AttemptMessage {}
+
+    /** What an agent knows of a fenced attempt. */
+    enum FenceState {
+        /** It did not run and never will. */
+        NEVER_ADMITTED,
+        /** It runs. */
+        RUNNING,
+        /** It has ended. */
+        ENDED,
+        /** The agent cannot tell. */
+        UNKNOWN
+    }
 
     /**
      * Asks the agent to send an answer again from a sequence number on.
--- a/wire/src/main/java/firwheel/wire/LoadMessage.java
+++ b/wire/src/main/java/firwheel/wire/LoadMessage.java
@@ -18,4 +18,12 @@
      */
     record Report(long probeId, String row, int rank, long outstandingTokens, int inFlight, int queued, long stepMillis)
             implements LoadMessage {}
+
+    /**
+     * Reading of the agent's monotonic clock, sent when a link opens and about once a second. A link on which none comes
+     * any more is dead.
+     *
+     * @param clockMillis the reading
+     */
+    record Clock(long clockMillis) implements LoadMessage {}
 }
--- a/wire/src/main/java/firwheel/wire/MessageType.java
+++ b/wire/src/main/java/firwheel/wire/MessageType.java
@@ -20,8 +20,10 @@
     FENCE(18, AttemptMessage.Fence.class),
     FENCE_RESULT(19, AttemptMessage.FenceResult.class),
     RESUME(20, AttemptMessage.Resume.class),
+    RECEIVED(21, AttemptMessage.Received.class),
     PROBE(30, LoadMessage.Probe.class),
-    LOAD_REPORT(31, LoadMessage.Report.class);
+    LOAD_REPORT(31, LoadMessage.Report.class),
+    CLOCK(32, LoadMessage.Clock.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
--- a/wire/src/test/java/firwheel/wire/MessageCodecTest.java
+++ b/wire/src/test/java/firwheel/wire/MessageCodecTest.java
@@ -42,7 +42,8 @@
                     new byte[] {9},
                     100,
                     20,
-                    4);
+                    4,
+                    50);
 
             assertThat(codec.decode(codec.encode(dispatch)))
                     .usingRecursiveComparison()
