Load tool: open-loop load that checks every answer and the services' ledgers

Cause: promises to callers need a check from outside. Change: module load and the load command; answers are compared piece by piece with the expected ones.

--- /dev/null
+++ b/load/src/main/java/firwheel/load/LoadReport.java
@@ -0,0 +1,108 @@
+package firwheel.load;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Result of a run. Latencies count from the time at which a request was due, so waiting in the generator is included.
+ *
+ * @param offered requests that were due
+ * @param shed requests that were due and not sent because too many were open
+ * @param seconds duration of the offering
+ * @param tokens tokens received
+ * @param verdicts number of requests by verdict
+ * @param firstToken time to the first token of streams
+ * @param betweenTokens time between tokens of streams
+ * @param whole time to the end of complete answers
+ * @param completePerSecond complete answers in each second since the start
+ * @param ledger what the ledgers of the stand-in services show
+ */
+record LoadReport(
+        long offered,
+        long shed,
+        double seconds,
+        long tokens,
+        Map<Verdict, Long> verdicts,
+        Percentiles firstToken,
+        Percentiles betweenTokens,
+        Percentiles whole,
+        List<Integer> completePerSecond,
+        LedgerCheck.Findings ledger) {
+
+    /** Percentiles of one latency in milliseconds. */
+    record Percentiles(long count, double p50Millis, double p95Millis, double p99Millis, double maxMillis) {
+        private static final double MICROS_PER_MILLI = 1_000.0;
+
+        static Percentiles of(Histogram histogram) {
+            return new Percentiles(
+                    histogram.getTotalCount(),
+                    histogram.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                    histogram.getValueAtPercentile(95) / MICROS_PER_MILLI,
+                    histogram.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                    histogram.getMaxValue() / MICROS_PER_MILLI);
+        }
+
+        String text() {
+            return String.format(
+                    Locale.ROOT,
+                    "n=%d p50=%.2f ms p95=%.2f ms p99=%.2f ms max=%.2f ms",
+                    count,
+                    p50Millis,
+                    p95Millis,
+                    p99Millis,
+                    maxMillis);
+        }
+    }
+
+    static LoadReport of(LoadTally tally, LoadOptions options, LedgerCheck.Findings ledger) {
+        Map<Verdict, Long> verdicts = new TreeMap<>();
+        for (Verdict verdict : Verdict.values()) {
+            verdicts.put(verdict, tally.count(verdict));
+        }
+        return new LoadReport(
+                tally.offered(),
+                tally.shedCount(),
+                options.duration().toMillis() / 1_000.0,
+                tally.tokens(),
+                verdicts,
+                Percentiles.of(tally.firstToken),
+                Percentiles.of(tally.betweenTokens),
+                Percentiles.of(tally.whole),
+                tally.completePerSecond(),
+                ledger);
+    }
+
+    /** Returns whether every promise to callers was kept. */
+    boolean clean() {
+        return ledger.clean()
+                && verdicts.entrySet().stream().allMatch(entry -> entry.getKey().allowed() || entry.getValue() == 0);
+    }
+
+    /** Returns the report for people. */
+    String text() {
+        StringBuilder out = new StringBuilder();
+        out.append(String.format(
+                Locale.ROOT,
+                "offered %d (%.1f/s), shed %d, tokens %d (%.0f/s)%n",
+                offered,
+                offered / seconds,
+                shed,
+                tokens,
+                tokens / seconds));
+        verdicts.forEach((verdict, count) -> out.append(verdict.name().toLowerCase(Locale.ROOT))
+                .append('=')
+                .append(count)
+                .append(' '));
+        out.append(String.format("%nfirst token    %s%n", firstToken.text()));
+        out.append(String.format("between tokens %s%n", betweenTokens.text()));
+        out.append(String.format("whole          %s%n", whole.text()));
+        out.append(String.format(
+                "ledger executed=%d doubled=%d ran-though-not-run=%d missing=%d%n",
+                ledger.executed(), ledger.doubled(), ledger.ranThoughNotRun(), ledger.missing()));
+        out.append(clean() ? "every answer is whole or a true refusal" : "PROMISES BROKEN, see the counts above");
+        return out.toString();
+    }
+}
--- /dev/null
+++ b/load/src/main/java/firwheel/load/LoadRun.java
@@ -0,0 +1,172 @@
+package firwheel.load;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.model.TimeSource;
+import firwheel.standin.StandInService.LedgerEntry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/**
+ * Offers requests at a fixed rate whatever the answers do, and checks each answer. All state is owned by one event
+ * loop.
+ */
+public final class LoadRun {
+    private static final long TICK_MILLIS = 2;
+    private static final long PROGRESS_MILLIS = 1_000;
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+
+    private final Vertx vertx;
+    private final LoadOptions options;
+    private final TimeSource time;
+    private final Consumer<String> progress;
+    private final SplittableRandom random;
+    private final HttpClient client;
+    private final LoadTally tally = new LoadTally();
+    private final LedgerCheck ledger = new LedgerCheck();
+    private final CompletableFuture<LoadReport> done = new CompletableFuture<>();
+    private final long startNanos;
+    private long sent;
+    private int open;
+    private boolean offering = true;
+
+    private LoadRun(Vertx vertx, LoadOptions options, TimeSource time, Consumer<String> progress) {
+        this.vertx = vertx;
+        this.options = options;
+        this.time = time;
+        this.progress = progress;
+        random = new SplittableRandom(options.seed());
+        client = vertx.createHttpClient(
+                new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
+                new PoolOptions().setHttp1MaxSize(options.maxOpen()));
+        startNanos = time.monotonicNanos();
+    }
+
+    /** Starts a run; {@code progress} gets a line each second. The future completes with the report's texts. */
+    public static CompletableFuture<Result> start(
+            Vertx vertx, LoadOptions options, TimeSource time, Consumer<String> progress) {
+        CompletableFuture<Result> result = new CompletableFuture<>();
+        vertx.getOrCreateContext().runOnContext(ignored -> {
+            LoadRun run = new LoadRun(vertx, options, time, progress);
+            run.begin();
+            firwheel.model.Futures.forward(run.done.thenApply(LoadRun::toResult), result);
+        });
+        return result;
+    }
+
+    /**
+     * Result of a run.
+     *
+     * @param clean whether every promise to callers was kept
+     * @param text report for people
+     * @param json report for programs
+     */
+    public record Result(boolean clean, String text, String json) {}
+
+    private static Result toResult(LoadReport report) {
+        try {
+            return new Result(
+                    report.clean(),
+                    report.text(),
+                    new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(report));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void begin() {
+        vertx.setPeriodic(TICK_MILLIS, this::tick);
+        vertx.setPeriodic(PROGRESS_MILLIS, timer -> {
+            if (done.isDone()) {
+                vertx.cancelTimer(timer);
+            } else {
+                progress.accept(progressLine());
+            }
+        });
+    }
+
+    private String progressLine() {
+        return String.format(
+                "%3d s  offered %d  complete %d  not-run %d  open %d",
+                elapsedSeconds(), tally.offered(), tally.count(Verdict.COMPLETE), tally.count(Verdict.NOT_RUN), open);
+    }
+
+    private int elapsedSeconds() {
+        return (int) ((time.monotonicNanos() - startNanos) / NANOS_PER_SECOND);
+    }
+
+    private void tick(long timer) {
+        double elapsedNanos =
+                Math.min(time.monotonicNanos() - startNanos, options.duration().toNanos());
+        long due = (long) (elapsedNanos / NANOS_PER_SECOND * options.ratePerSecond());
+        while (sent < due) {
+            offerOne(startNanos + (long) (sent * NANOS_PER_SECOND / options.ratePerSecond()));
+        }
+        if (elapsedNanos >= options.duration().toNanos()) {
+            vertx.cancelTimer(timer);
+            offering = false;
+            finishWhenIdle();
+        }
+    }
+
+    private void offerOne(long dueNanos) {
+        long serial = sent++;
+        tally.offer();
+        if (open >= options.maxOpen()) {
+            tally.shed();
+            return;
+        }
+        open++;
+        Mix.Item item = options.mix().draw(random);
+        URI entry = options.entries().get((int) (serial % options.entries().size()));
+        LoadRequest request = new LoadRequest(vertx, item, serial, options.seed(), dueNanos, time, tally);
+        request.send(client, entry, options.deadline(), verdict -> onEnd(request, verdict));
+    }
+
+    private void onEnd(LoadRequest request, Verdict verdict) {
+        open--;
+        tally.end(verdict, elapsedSeconds());
+        request.bodyDigest().ifPresent(digest -> ledger.note(digest, verdict));
+        finishWhenIdle();
+    }
+
+    private void finishWhenIdle() {
+        if (!offering && open == 0) {
+            List<Future<List<LedgerEntry>>> reads = new ArrayList<>();
+            options.ledgers().forEach(address -> reads.add(readLedger(address)));
+            Future.all(reads)
+                    .onSuccess(all -> done.complete(LoadReport.of(tally, options, ledger.compare(all.list()))))
+                    .onFailure(done::completeExceptionally);
+        }
+    }
+
+    private Future<List<LedgerEntry>> readLedger(URI address) {
+        RequestOptions request = new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setHost(address.getHost())
+                .setPort(address.getPort())
+                .setURI("/ledger");
+        return client.request(request)
+                .compose(call -> call.send().compose(response -> response.body()))
+                .map(body -> {
+                    try {
+                        return new ObjectMapper().readValue(body.getBytes(), new TypeReference<List<LedgerEntry>>() {});
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/load/src/main/java/firwheel/load/Mix.java
@@ -0,0 +1,89 @@
+package firwheel.load;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import java.io.File;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Kinds of requests and their shares.
+ *
+ * @param items kinds of requests; at least one
+ */
+public record Mix(@JsonProperty("items") List<Item> items) {
+    /** What is sent when no mix is named: streams, whole completions and keyed bookings. */
+    public static final Mix DEFAULT = new Mix(List.of(
+            new Item("completion", "demo-model", 6, true, 400, 32, "organisation-a", false),
+            new Item("completion", "demo-model", 2, false, 400, 16, "organisation-b", false),
+            new Item("service", "order-desk", 2, false, 100, 0, "organisation-b", true)));
+
+    /**
+     * One kind of request.
+     *
+     * @param kind {@code completion} or {@code service}
+     * @param name model or service name
+     * @param weight share relative to the other items
+     * @param stream whether to ask for an event stream
+     * @param promptChars length of the prompt or of the service body
+     * @param maxTokens tokens asked for
+     * @param organisation organisation named in the request
+     * @param keyed whether service calls carry an idempotency key
+     */
+    public record Item(
+            @JsonProperty("kind") String kind,
+            @JsonProperty("name") String name,
+            @JsonProperty("weight") int weight,
+            @JsonProperty("stream") boolean stream,
+            @JsonProperty("prompt_chars") int promptChars,
+            @JsonProperty("max_tokens") int maxTokens,
+            @JsonProperty("organisation") String organisation,
+            @JsonProperty("keyed") boolean keyed) {
+        public Item {
+            boolean knownKind = "completion".equals(kind) || "service".equals(kind);
+            if (!knownKind || name == null || organisation == null || weight < 1) {
+                throw new IllegalArgumentException(
+                        "an item needs kind completion or service, name, organisation and a weight of at least 1");
+            }
+        }
+
+        /** Returns whether the item calls a model. */
+        boolean isCompletion() {
+            return kind.equals("completion");
+        }
+    }
+
+    public Mix {
+        items = List.copyOf(items);
+        if (items.isEmpty()) {
+            throw new IllegalArgumentException("a mix needs at least one item");
+        }
+    }
+
+    /** Reads a mix from a JSON file. Failures carry {@code FW-9002}. */
+    public static Mix read(File file) {
+        try {
+            return new ObjectMapper().readValue(file, Mix.class);
+        } catch (IOException e) {
+            throw new FirwheelException(
+                    ResultCode.BAD_USAGE, "cannot read mix " + file + ": " + e.getMessage(), Duration.ZERO, e);
+        }
+    }
+
+    /** Draws an item by weight. */
+    Item draw(SplittableRandom random) {
+        int total = items.stream().mapToInt(Item::weight).sum();
+        int left = random.nextInt(total);
+        for (Item item : items) {
+            left -= item.weight();
+            if (left < 0) {
+                return item;
+            }
+        }
+        throw new IllegalStateException("weights do not add up");
+    }
+}
--- a/standin/src/main/java/firwheel/standin/ExpectedAnswer.java
+++ b/standin/src/main/java/firwheel/standin/ExpectedAnswer.java
@@ -2,7 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.zip.CRC32C;
@@ -12,6 +15,7 @@
     /** Tokens generated when the request does not limit them. */
     public static final int DEFAULT_MAX_TOKENS = 32;
 
+    private static final int DIGEST_BYTES = 16;
     private static final int RADIX = 36;
     private static final int TOKEN_VALUES = 1_000_000;
 
@@ -45,11 +49,14 @@
         return text.toString();
     }
 
-    /** Returns the checksum that the stand-in service answers with. */
+    /** Returns the digest of a body that the stand-in service answers with. */
     public static String digest(byte[] body) {
-        CRC32C crc = new CRC32C();
-        crc.update(body);
-        return Long.toHexString(crc.getValue());
+        try {
+            byte[] whole = MessageDigest.getInstance("SHA-256").digest(body);
+            return HexFormat.of().formatHex(whole, 0, DIGEST_BYTES);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
     }
 
     private static long seed(String model, String prompt) {
