Give each server an event loop of its own

Cause: a server started from one outside thread shares that thread's sticky event loop, so the whole demo ran on one loop.

--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -4,12 +4,12 @@
 import firwheel.model.AttemptId;
 import firwheel.model.EventCode;
 import firwheel.model.Events;
-import firwheel.model.Futures;
 import firwheel.model.ResultCode;
 import firwheel.model.RowState;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TargetKind;
 import firwheel.model.TargetRow;
+import firwheel.platform.EventLoops;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
 import firwheel.wire.LinkEndpoint;
@@ -75,10 +75,10 @@
     /** Starts an agent; the future completes when it listens. */
     public static CompletableFuture<AgentServer> start(
             Vertx vertx, AgentSettings settings, Supplier<TableSnapshot> table) {
-        AgentServer agent = new AgentServer(vertx, settings, table);
-        CompletableFuture<AgentServer> started = new CompletableFuture<>();
-        agent.context.runOnContext(ignored -> Futures.forward(agent.listen().thenApply(done -> agent), started));
-        return started;
+        return EventLoops.start(vertx, () -> {
+            AgentServer agent = new AgentServer(vertx, settings, table);
+            return agent.listen().thenApply(done -> agent);
+        });
     }
 
     /** Returns the TCP port of the links. */
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -4,11 +4,11 @@
 import firwheel.model.EventCode;
 import firwheel.model.Events;
 import firwheel.model.FirwheelException;
-import firwheel.model.Futures;
 import firwheel.model.RankKey;
 import firwheel.model.ResultCode;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
+import firwheel.platform.EventLoops;
 import firwheel.routing.RankLoad;
 import firwheel.routing.RoutingPolicy;
 import firwheel.routing.RoutingView;
@@ -61,10 +61,10 @@
     /** Starts an entry; the future completes when it listens. */
     public static CompletableFuture<EntryServer> start(
             Vertx vertx, EntrySettings settings, Supplier<TableSnapshot> table, RoutingPolicy policy) {
-        EntryServer entry = new EntryServer(vertx, settings, table, policy);
-        CompletableFuture<EntryServer> started = new CompletableFuture<>();
-        entry.context.runOnContext(ignored -> Futures.forward(entry.listen().thenApply(done -> entry), started));
-        return started;
+        return EventLoops.start(vertx, () -> {
+            EntryServer entry = new EntryServer(vertx, settings, table, policy);
+            return entry.listen().thenApply(done -> entry);
+        });
     }
 
     /** Returns the port for callers. */
--- a/load/src/main/java/firwheel/load/LoadRun.java
+++ b/load/src/main/java/firwheel/load/LoadRun.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import firwheel.model.TimeSource;
+import firwheel.platform.EventLoops;
 import firwheel.standin.StandInService.LedgerEntry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -58,13 +59,11 @@
     /** Starts a run; {@code progress} gets a line each second. The future completes with the report's texts. */
     public static CompletableFuture<Result> start(
             Vertx vertx, LoadOptions options, TimeSource time, Consumer<String> progress) {
-        CompletableFuture<Result> result = new CompletableFuture<>();
-        vertx.getOrCreateContext().runOnContext(ignored -> {
+        return EventLoops.start(vertx, () -> {
             LoadRun run = new LoadRun(vertx, options, time, progress);
             run.begin();
-            firwheel.model.Futures.forward(run.done.thenApply(LoadRun::toResult), result);
+            return run.done.thenApply(LoadRun::toResult);
         });
-        return result;
     }
 
     /**
@@ -145,6 +144,10 @@
 
     private void finishWhenIdle() {
         if (!offering && open == 0) {
+            if (options.ledgers().isEmpty()) {
+                done.complete(LoadReport.of(tally, options, LedgerCheck.Findings.NONE));
+                return;
+            }
             List<Future<List<LedgerEntry>>> reads = new ArrayList<>();
             options.ledgers().forEach(address -> reads.add(readLedger(address)));
             Future.all(reads)
--- a/standin/src/main/java/firwheel/standin/StandInEngine.java
+++ b/standin/src/main/java/firwheel/standin/StandInEngine.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.platform.EventLoops;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
@@ -39,11 +40,11 @@
 
     /** Listens; port 0 picks a free one. */
     public CompletableFuture<HttpServer> listen(String ip, int port) {
-        return vertx.createHttpServer()
+        return EventLoops.start(vertx, () -> vertx.createHttpServer()
                 .requestHandler(this::handle)
                 .listen(port, ip)
                 .toCompletionStage()
-                .toCompletableFuture();
+                .toCompletableFuture());
     }
 
     /** Returns how many requests run. */
--- a/standin/src/main/java/firwheel/standin/StandInPlatform.java
+++ b/standin/src/main/java/firwheel/standin/StandInPlatform.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import firwheel.model.FirwheelException;
+import firwheel.platform.EventLoops;
 import firwheel.platform.HostList;
 import firwheel.platform.PlatformRequests;
 import firwheel.platform.TableService;
@@ -42,11 +43,11 @@
 
     /** Listens; port 0 picks a free one. */
     public CompletableFuture<HttpServer> listen(String ip, int port) {
-        return vertx.createHttpServer()
+        return EventLoops.start(vertx, () -> vertx.createHttpServer()
                 .requestHandler(request -> request.body().onSuccess(body -> handle(request, body)))
                 .listen(port, ip)
                 .toCompletionStage()
-                .toCompletableFuture();
+                .toCompletableFuture());
     }
 
     private void handle(HttpServerRequest request, Buffer body) {
