Distribution, membership, leases and fencing over virtual time

Cause: an accepted change has to be in force on every connected host within 4 s and never revert, whatever is cut, paused, replayed, restored or restarted. Change: TableHolder (never lower, digest of the whole table, field-level steps), ZonePoller, TableGossip (push, announcements, bounded pages), Membership, LeaseHolder, FencingGuard, TableNode; time limit and circuit breaker around the platform. Ruled out: counting only peers heard lately as sharers of the polls; with ten entries a zone each looked silent and the zone polled too often.

--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -17,6 +17,7 @@
     TABLE_IN_FORCE(301, Severity.INFO, "A table revision is in force on this host."),
     TABLE_REJECTED(302, Severity.ERROR, "Rows in the store fail the checks; the last good revision stays in force."),
     TABLE_OLDER(303, Severity.WARN, "An older table revision was offered and ignored."),
+    TABLE_FORKED(304, Severity.ERROR, "Two hosts hold different tables of the same revision."),
     PLATFORM_DOWN(401, Severity.WARN, "The platform does not answer."),
     PLATFORM_BACK(402, Severity.INFO, "The platform answers again."),
     LEASE_ACQUIRED(403, Severity.INFO, "This host holds the controller lease of its zone."),
--- /dev/null
+++ b/table/src/main/java/firwheel/table/FencingGuard.java
@@ -0,0 +1,63 @@
+package firwheel.table;
+
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import firwheel.platform.StoredRow;
+import firwheel.platform.TableService;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+
+/**
+ * Gate for controllers' orders at an agent, also for engines that ignore fencing numbers. It keeps the highest number
+ * seen and refuses lower ones. After a restart it takes no order before the platform's present number was read: orders
+ * of a controller that was replaced meanwhile would pass otherwise. Control thread only.
+ */
+public final class FencingGuard {
+    private boolean numberRead;
+    private long highest;
+
+    /** Takes the number that the platform's lease row holds. */
+    public void onNumberRead(long presentNumber) {
+        numberRead = true;
+        highest = Math.max(highest, presentNumber);
+    }
+
+    /** Reads the present number of a zone's lease from the platform. */
+    public CompletableFuture<Void> readNumber(TableService service, String availabilityZone, Executor control) {
+        return service.read(List.of(TableKeys.lease(availabilityZone)))
+                .thenAcceptAsync(rows -> onNumberRead(numberOf(rows)), control);
+    }
+
+    /** Returns whether orders can be taken at all. */
+    public boolean ready() {
+        return numberRead;
+    }
+
+    /** Returns the highest number seen. */
+    public long highest() {
+        return highest;
+    }
+
+    /**
+     * Admits an order or refuses it.
+     *
+     * @throws FirwheelException with {@code FW-8001} for a lower number, or any number before the first reading
+     */
+    public void admit(long fencingNumber) {
+        if (!numberRead) {
+            throw new FirwheelException(ResultCode.ORDER_FENCED, "the present fencing number is not read yet");
+        }
+        if (fencingNumber < highest) {
+            throw new FirwheelException(
+                    ResultCode.ORDER_FENCED, "order has number " + fencingNumber + ", highest is " + highest);
+        }
+        highest = fencingNumber;
+    }
+
+    private static long numberOf(List<StoredRow> rows) {
+        return rows.isEmpty()
+                ? 0
+                : RowJson.readValue(rows.get(0).value(), LeaseRecord.class).fencingNumber();
+    }
+}
--- /dev/null
+++ b/table/src/main/java/firwheel/table/LeaseHolder.java
@@ -0,0 +1,191 @@
+package firwheel.table;
+
+import firwheel.model.EventCode;
+import firwheel.model.Events;
+import firwheel.model.FirwheelException;
+import firwheel.model.TimeSource;
+import firwheel.platform.Condition;
+import firwheel.platform.StoredRow;
+import firwheel.platform.TableService;
+import firwheel.platform.Transaction;
+import firwheel.platform.Write;
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Contends for the controller lease of a zone and renews it. Times are measured on the monotonic clock of this process
+ * only: the lease counts from before the write was sent and ends a margin early; another holder's lease is taken over
+ * only after its row was seen unchanged for longer than it lasts. A lost answer to a write is settled by reading the
+ * row back and comparing the write's id. Control thread only.
+ */
+public final class LeaseHolder {
+    private static final Logger LOGGER = LoggerFactory.getLogger(LeaseHolder.class);
+
+    private final String availabilityZone;
+    private final String holderId;
+    private final Terms terms;
+    private final TableService service;
+    private final TimeSource time;
+    private final Executor control;
+    private final Supplier<String> newWriteId;
+
+    private @Nullable StoredRow seen;
+    private long seenSinceNanos;
+    private @Nullable PendingWrite pending;
+    private boolean held;
+    private long heldNumber;
+    private long validUntilNanos;
+
+    /**
+     * Terms of the lease.
+     *
+     * @param duration time that the lease lasts after a write
+     * @param margin time before the end at which the holder stops giving orders
+     */
+    public record Terms(Duration duration, Duration margin) {
+        /** Terms that writes every few seconds keep up. */
+        public static final Terms DEFAULT = new Terms(Duration.ofSeconds(10), Duration.ofSeconds(2));
+
+        public Terms {
+            if (margin.compareTo(duration) >= 0) {
+                throw new IllegalArgumentException("margin must be shorter than the lease");
+            }
+        }
+    }
+
+    private record PendingWrite(LeaseRecord lease, long sentNanos) {}
+
+    /** Creates a contender that does not hold the lease. */
+    public LeaseHolder(
+            String availabilityZone,
+            String holderId,
+            Terms terms,
+            TableService service,
+            TimeSource time,
+            Executor control,
+            Supplier<String> newWriteId) {
+        this.availabilityZone = availabilityZone;
+        this.holderId = holderId;
+        this.terms = terms;
+        this.service = service;
+        this.time = time;
+        this.control = control;
+        this.newWriteId = newWriteId;
+    }
+
+    /** Returns the fencing number for an order given now; empty when the lease is not held for sure. */
+    public OptionalLong fencingNumber() {
+        boolean valid = held && time.monotonicNanos() < validUntilNanos;
+        return valid ? OptionalLong.of(heldNumber) : OptionalLong.empty();
+    }
+
+    /** Reads the lease and acquires or renews it when due. Call about every third of the lease's duration. */
+    public CompletableFuture<Void> tick() {
+        noteExpiry();
+        return service.read(List.of(TableKeys.lease(availabilityZone)))
+                .thenComposeAsync(rows -> onRead(rows.isEmpty() ? absent() : rows.get(0)), control)
+                .exceptionally(error -> null);
+    }
+
+    private CompletableFuture<Void> onRead(StoredRow row) {
+        long now = time.monotonicNanos();
+        StoredRow before = seen;
+        if (before == null || before.version() != row.version()) {
+            seen = row;
+            seenSinceNanos = now;
+        }
+        LeaseRecord stored = row.version() == 0 ? null : RowJson.readValue(row.value(), LeaseRecord.class);
+        settlePending(stored);
+        if (stored != null && held && !isOwn(stored)) {
+            release();
+        }
+        boolean renewable = stored != null && held && isOwn(stored) && now < validUntilNanos;
+        if (renewable) {
+            return write(row, heldNumber);
+        }
+        if (stored == null
+                || now - seenSinceNanos
+                        > Duration.ofMillis(stored.durationMillis()).toNanos()) {
+            return write(row, stored == null ? 1 : stored.fencingNumber() + 1);
+        }
+        return CompletableFuture.completedFuture(null);
+    }
+
+    /** A write whose answer was lost took effect when the row shows its id; it then counts from when it was sent. */
+    private void settlePending(@Nullable LeaseRecord stored) {
+        PendingWrite write = pending;
+        if (write != null
+                && stored != null
+                && stored.writeId().equals(write.lease().writeId())) {
+            pending = null;
+            onWritten(write);
+        }
+    }
+
+    private CompletableFuture<Void> write(StoredRow row, long fencingNumber) {
+        LeaseRecord lease = new LeaseRecord(
+                holderId, fencingNumber, newWriteId.get(), terms.duration().toMillis());
+        PendingWrite write = new PendingWrite(lease, time.monotonicNanos());
+        pending = write;
+        Transaction transaction = new Transaction(
+                List.of(new Condition(row.key(), row.version())),
+                List.of(new Write(row.key(), RowJson.writeValue(lease))));
+        return service.commit(transaction)
+                .thenAcceptAsync(
+                        answer -> {
+                            if (answer.applied()) {
+                                onWritten(write);
+                            }
+                            if (write.equals(pending)) {
+                                pending = null;
+                            }
+                        },
+                        control)
+                .exceptionally(error -> {
+                    LOGGER.debug(
+                            "lease write without answer: {}",
+                            FirwheelException.of(error).code());
+                    return null;
+                });
+    }
+
+    private void onWritten(PendingWrite write) {
+        long until = write.sentNanos() + terms.duration().minus(terms.margin()).toNanos();
+        boolean acquired = !held || heldNumber != write.lease().fencingNumber();
+        if (acquired && held && heldNumber > write.lease().fencingNumber()) {
+            return;
+        }
+        held = true;
+        heldNumber = write.lease().fencingNumber();
+        validUntilNanos = acquired ? until : Math.max(validUntilNanos, until);
+        if (acquired) {
+            Events.log(LOGGER, EventCode.LEASE_ACQUIRED, "zone", availabilityZone, "fencingNumber", heldNumber);
+        }
+    }
+
+    private void noteExpiry() {
+        if (held && time.monotonicNanos() >= validUntilNanos) {
+            release();
+        }
+    }
+
+    private void release() {
+        held = false;
+        Events.log(LOGGER, EventCode.LEASE_RELEASED, "zone", availabilityZone, "fencingNumber", heldNumber);
+    }
+
+    private boolean isOwn(LeaseRecord stored) {
+        return stored.holderId().equals(holderId) && stored.fencingNumber() == heldNumber;
+    }
+
+    private StoredRow absent() {
+        return new StoredRow(TableKeys.lease(availabilityZone), 0, "");
+    }
+}
--- /dev/null
+++ b/table/src/main/java/firwheel/table/Outgoing.java
@@ -0,0 +1,9 @@
+package firwheel.table;
+
+/**
+ * Message that is to be sent.
+ *
+ * @param to receiver
+ * @param message content
+ */
+public record Outgoing(Peer to, TableMessage message) {}
--- /dev/null
+++ b/table/src/main/java/firwheel/table/SnapshotPages.java
@@ -0,0 +1,53 @@
+package firwheel.table;
+
+import firwheel.model.RankAddress;
+import firwheel.model.TargetRow;
+import firwheel.table.TableHolder.Held;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Cuts a table into pages of bounded size. */
+final class SnapshotPages {
+    private static final int ROW_BYTES = 220;
+    private static final int HOST_BYTES = 40;
+
+    private final Held held;
+    private final List<List<TargetRow>> pages = new ArrayList<>();
+
+    SnapshotPages(Held held) {
+        this.held = held;
+        List<TargetRow> page = new ArrayList<>();
+        int bytes = 0;
+        for (TargetRow row : held.table().rows()) {
+            int rowBytes = sizeBytes(row);
+            if (!page.isEmpty() && bytes + rowBytes > TableMessage.MAX_BYTES) {
+                pages.add(page);
+                page = new ArrayList<>();
+                bytes = 0;
+            }
+            page.add(row);
+            bytes += rowBytes;
+        }
+        pages.add(page);
+    }
+
+    long revision() {
+        return held.revision();
+    }
+
+    TableMessage.SnapshotPage page(int number) {
+        int index = Math.max(0, Math.min(number, pages.size() - 1));
+        return new TableMessage.SnapshotPage(held.revision(), held.digest(), index, pages.size(), pages.get(index));
+    }
+
+    private static int sizeBytes(TargetRow row) {
+        int bytes = ROW_BYTES + row.name().length() + row.availabilityZone().length();
+        for (String model : row.models()) {
+            bytes += model.length() + 4;
+        }
+        for (RankAddress host : row.hosts()) {
+            bytes += HOST_BYTES + host.ip().length();
+        }
+        return bytes;
+    }
+}
--- a/table/src/main/java/firwheel/table/TableDiff.java
+++ b/table/src/main/java/firwheel/table/TableDiff.java
@@ -12,6 +12,8 @@
 
 /** Differences between tables, and tables made from differences. */
 public final class TableDiff {
+    private static final Comparator<TargetRow> BY_NAME = Comparator.comparing(TargetRow::name);
+
     private TableDiff() {}
 
     /** Returns the changes, ordered by name, that turn {@code from} into {@code to}. */
@@ -33,16 +35,55 @@
 
     /** Returns the table after {@code changes}, at {@code revision}. */
     public static TableSnapshot apply(TableSnapshot base, Collection<RowChange> changes, long revision) {
-        SortedMap<String, TargetRow> rows = byName(base.rows());
+        List<TargetRow> rows = new ArrayList<>(base.rows());
+        if (!isOrdered(rows)) {
+            rows.sort(BY_NAME);
+        }
         for (RowChange change : changes) {
-            TargetRow after = change.after();
-            if (after == null) {
-                rows.remove(change.name());
+            replace(rows, change);
+        }
+        return new TableSnapshot(revision, rows);
+    }
+
+    private static void replace(List<TargetRow> rows, RowChange change) {
+        int index = indexOf(rows, change.name());
+        TargetRow after = change.after();
+        if (after == null) {
+            if (index >= 0) {
+                rows.remove(index);
+            }
+        } else if (index >= 0) {
+            rows.set(index, after);
+        } else {
+            rows.add(-index - 1, after);
+        }
+    }
+
+    private static int indexOf(List<TargetRow> rows, String name) {
+        int low = 0;
+        int high = rows.size() - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            int order = rows.get(middle).name().compareTo(name);
+            if (order == 0) {
+                return middle;
+            }
+            if (order < 0) {
+                low = middle + 1;
             } else {
-                rows.put(change.name(), after);
+                high = middle - 1;
+            }
+        }
+        return -low - 1;
+    }
+
+    private static boolean isOrdered(List<TargetRow> rows) {
+        for (int i = 1; i < rows.size(); i++) {
+            if (BY_NAME.compare(rows.get(i - 1), rows.get(i)) > 0) {
+                return false;
             }
         }
-        return new TableSnapshot(revision, List.copyOf(rows.values()));
+        return true;
     }
 
     /** Returns the table before {@code records}, which follow {@code revision} without gaps. */
--- /dev/null
+++ b/table/src/test/java/firwheel/table/MembershipTest.java
@@ -0,0 +1,73 @@
+package firwheel.table;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firwheel.platform.HostList.HostEntry;
+import firwheel.standin.LaggingHostList;
+import firwheel.standin.VirtualTime;
+import firwheel.table.Membership.Standing;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class MembershipTest {
+    private final VirtualTime time = new VirtualTime();
+    private final LaggingHostList list = new LaggingHostList(time, Duration.ofSeconds(30));
+    private final Membership membership = new Membership(time);
+
+    private static Peer peer(long incarnation) {
+        return new Peer("h", "a", Peer.Role.ENTRY, incarnation);
+    }
+
+    private void readList() {
+        membership.onHostList(list.hosts().join());
+    }
+
+    @Test
+    void linkProvesLifeOfHostThatListDoesNotShowYet() {
+        list.set(List.of(new HostEntry("h", "a", "entry", false)));
+        membership.onLinkUp(peer(1));
+        readList();
+        assertThat(membership.standing("h")).isEqualTo(Standing.LIVE);
+        assertThat(membership.linkedEntries("a")).isEqualTo(1);
+    }
+
+    @Test
+    void silentPeerIsSuspectUntilHeardAgain() {
+        membership.onLinkUp(peer(1));
+        time.runFor(Duration.ofSeconds(2));
+        assertThat(membership.standing("h")).isEqualTo(Standing.SUSPECT);
+        assertThat(membership.live()).isEmpty();
+        assertThat(membership.linked()).hasSize(1);
+        membership.onFrame(peer(1));
+        assertThat(membership.standing("h")).isEqualTo(Standing.LIVE);
+    }
+
+    @Test
+    void restartedPeerReplacesEarlierIncarnation() {
+        membership.onLinkUp(peer(1));
+        membership.onLinkUp(peer(2));
+        membership.onLinkDown(peer(1));
+        assertThat(membership.linked()).containsExactly(peer(2));
+        time.runFor(Duration.ofSeconds(2));
+        membership.onFrame(peer(1));
+        assertThat(membership.standing("h")).isEqualTo(Standing.SUSPECT);
+    }
+
+    @Test
+    void listedHostThatIsGoneIsDialledLessOftenAndForgottenWithTheList() {
+        list.set(List.of(new HostEntry("h", "a", "entry", false)));
+        time.runFor(Duration.ofSeconds(31));
+        readList();
+        assertThat(membership.toDial()).containsExactly("h");
+        membership.onDialFailed("h");
+        assertThat(membership.toDial()).isEmpty();
+        time.runFor(Duration.ofMillis(250));
+        assertThat(membership.toDial()).containsExactly("h");
+        membership.onDialFailed("h");
+        time.runFor(Duration.ofMillis(250));
+        assertThat(membership.toDial()).isEmpty();
+        membership.onHostList(List.of());
+        assertThat(membership.standing("h")).isNull();
+    }
+}
--- /dev/null
+++ b/table/src/test/java/firwheel/table/TableNodeTest.java
@@ -0,0 +1,215 @@
+package firwheel.table;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetRow;
+import firwheel.platform.StoredRow;
+import firwheel.platform.Transaction;
+import firwheel.platform.Write;
+import firwheel.standin.FaultyTableService.Faults;
+import firwheel.table.FakeNetwork.Host;
+import firwheel.table.TableHolder.Adoption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class TableNodeTest {
+    private static final TargetRow A = Rows.row("a", 1);
+    private static final TargetRow B = Rows.row("b", 2);
+
+    private final FakeNetwork network = new FakeNetwork(7);
+    private final TableCommitter committer = new TableCommitter(network.platform, network.time, network.time);
+    private int changes;
+
+    private long apply(TargetRow... rows) {
+        TableSnapshot base = new TableReader(network.store).read().join();
+        var result =
+                committer.apply(base, new TableSnapshot(base.revision(), List.of(rows)), "op", "x", "c" + changes++);
+        network.time.runFor(Duration.ofMillis(20));
+        return result.join().revision();
+    }
+
+    private List<Host> entries(int number) {
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < number; i++) {
+            hosts.add(network.start("entry-" + i, "a", Peer.Role.ENTRY));
+        }
+        return hosts;
+    }
+
+    private void run(long seconds) {
+        network.time.runFor(Duration.ofSeconds(seconds));
+    }
+
+    private void assertAllAt(long revision) {
+        assertThat(network.hosts.values()).allSatisfy(host -> {
+            assertThat(host.inForce.revision()).isEqualTo(revision);
+            assertThat(host.node.ready()).isTrue();
+        });
+    }
+
+    @Nested
+    final class Polling {
+        @Test
+        void ofZoneStaysAtFewReadsHoweverManyHosts() {
+            for (int hosts : new int[] {1, 4, 10}) {
+                FakeNetwork fresh = new FakeNetwork(hosts);
+                for (int i = 0; i < hosts; i++) {
+                    fresh.start("entry-" + i, "a", Peer.Role.ENTRY);
+                }
+                fresh.time.runFor(Duration.ofSeconds(10));
+                long before = fresh.platform.reads();
+                fresh.time.runFor(Duration.ofSeconds(100));
+                assertThat((fresh.platform.reads() - before) / 100.0).isBetween(3.0, 5.0);
+            }
+        }
+
+        @Test
+        void stopsNeitherAfterSlowAnswersNorAfterOutage() {
+            entries(3);
+            network.platform.setFaults(new Faults(
+                    false, Duration.ofHours(1), 0, Duration.ZERO, 0, 0, Integer.MAX_VALUE, Integer.MAX_VALUE));
+            run(60);
+            network.platform.setFaults(Faults.down());
+            run(3_600);
+            network.platform.setFaults(Faults.NONE);
+            long revision = apply(A);
+            run(4);
+            assertAllAt(revision);
+        }
+    }
+
+    @Nested
+    final class StartingHosts {
+        @Test
+        void areReplacedOneAfterAnotherWhilePlatformIsDownForHours() {
+            entries(5);
+            long revision = apply(A, B);
+            run(4);
+            network.platform.setFaults(Faults.down());
+            for (int i = 0; i < 100; i++) {
+                network.start("entry-" + i % 5, "a", Peer.Role.ENTRY);
+                run(110);
+            }
+            assertAllAt(revision);
+        }
+
+        @Test
+        void takeTableFromAgentsWhenAllEntriesAreReplacedAtOnce() {
+            entries(3);
+            network.start("agent-0", "a", Peer.Role.AGENT);
+            long revision = apply(A, B);
+            run(4);
+            network.platform.setFaults(Faults.down());
+            entries(3);
+            run(4);
+            assertAllAt(revision);
+        }
+
+        @Test
+        void serveNothingWhenNobodyHasTable() {
+            network.platform.setFaults(Faults.down());
+            Host alone = entries(1).get(0);
+            run(60);
+            assertThat(alone.node.ready()).isFalse();
+        }
+
+        @Test
+        void fetchLargeTableInBoundedPages() {
+            List<TargetRow> rows = new ArrayList<>();
+            for (int i = 0; i < 250; i++) {
+                rows.add(Rows.row(String.format("row-%03d", i), i));
+            }
+            long revision = apply(rows.toArray(TargetRow[]::new));
+            Host keeper = entries(2).get(0);
+            run(4);
+            network.platform.setFaults(Faults.down());
+            network.start("entry-1", "a", Peer.Role.ENTRY);
+            run(4);
+            assertAllAt(revision);
+            assertThat(new SnapshotPages(keeper.node.holder().held()).page(0).pages())
+                    .isGreaterThan(1);
+        }
+    }
+
+    @Nested
+    final class BadStore {
+        @Test
+        void withDamagedRowsLeavesLastGoodTableInForce() {
+            entries(3);
+            long revision = apply(A, B);
+            run(4);
+            write(TableKeys.row("a"), "{\"name\":\"a\"");
+            write(TableKeys.audit(revision + 1), "{");
+            write(TableKeys.REVISION, "{\"revision\":" + (revision + 1) + "}");
+            run(60);
+            network.start("entry-1", "a", Peer.Role.ENTRY);
+            run(60);
+            assertAllAt(revision);
+        }
+
+        @Test
+        void restoredFromOlderBackupIsNotAdopted() {
+            entries(3);
+            long first = apply(A);
+            List<StoredRow> backup = network.store.scan("", "", 100).join();
+            long revision = apply(A, B);
+            run(4);
+            network.store.scan("", "", 100).join().forEach(row -> write(row.key(), null));
+            backup.forEach(row -> write(row.key(), row.value()));
+            network.start("entry-1", "a", Peer.Role.ENTRY);
+            run(60);
+            assertThat(first).isLessThan(revision);
+            assertAllAt(revision);
+        }
+
+        private void write(String key, @Nullable String value) {
+            network.store
+                    .commit(new Transaction(List.of(), List.of(new Write(key, value))))
+                    .join();
+        }
+    }
+
+    @Nested
+    final class Holder {
+        private final TableHolder holder = new TableHolder();
+
+        @Test
+        void refusesOlderForkedAndInvalidTables() {
+            assertThat(holder.offer(Rows.table(5, A))).isEqualTo(Adoption.ADOPTED);
+            assertThat(holder.offer(Rows.table(5, A))).isEqualTo(Adoption.SAME);
+            assertThat(holder.offer(Rows.table(5, B))).isEqualTo(Adoption.REJECTED);
+            assertThat(holder.offer(Rows.table(4, A))).isEqualTo(Adoption.OLDER);
+            assertThat(holder.offer(Rows.table(9, A, Rows.row("c", 1)))).isEqualTo(Adoption.REJECTED);
+            assertThat(holder.table()).isEqualTo(Rows.table(5, A));
+        }
+
+        @Test
+        void refusesStepsThatDoNotFit() {
+            holder.offer(Rows.table(5, A));
+            TargetRow changed = Rows.withWeight(A, 7);
+            AuditRecord fits = record(6, A, changed);
+            assertThat(holder.offerRecords(List.of(record(7, A, changed)))).isEqualTo(Adoption.GAP);
+            assertThat(holder.offerRecords(List.of(record(6, B, changed)))).isEqualTo(Adoption.REJECTED);
+            assertThat(holder.offerRecords(List.of(fits))).isEqualTo(Adoption.ADOPTED);
+
+            TableHolder other = new TableHolder();
+            other.offer(Rows.table(5, Rows.withWeight(A, 1)));
+            List<RevisionPatch> steps = holder.stepsAfter(5, 10_000);
+            assertThat(steps.get(0).rows().get(0).fields()).hasSize(1);
+            assertThat(other.offerSteps(steps)).as("same row, other limits").isEqualTo(Adoption.ADOPTED);
+            TableHolder forked = new TableHolder();
+            forked.offer(Rows.table(5, B));
+            assertThat(forked.offerSteps(steps)).isEqualTo(Adoption.REJECTED);
+            assertThat(holder.stepsAfter(3, 10_000)).isEmpty();
+        }
+
+        private AuditRecord record(long revision, TargetRow before, TargetRow after) {
+            return new AuditRecord(revision, "c", "op", "x", 0, List.of(new RowChange("a", before, after)));
+        }
+    }
+}
