--- a/model/src/test/java/firwheel/model/CatalogueTest.java
+++ b/model/src/test/java/firwheel/model/CatalogueTest.java
@@ -54,7 +54,9 @@
                 String page = code.number() / 1_000 + "xxx.md";
 
                 assertThat(Files.readString(DOCS.resolve("codes").resolve(page)))
-                        .withFailMessage("docs/codes/%s: add a section on %s", page, code.label())
+                        .withFailMessage(
+                                "docs/codes/%s: add this section:%n%n## %s %s%n%n%s%n%nWhat to do: %s",
+                                page, code.label(), code.name(), code.summary(), code.remedy())
                         .contains(code.label());
             }
         }
