Settings checked against JSON schemas, and mutual TLS on links

Cause: a settings file was read without checks, and links had no encryption. FIRWHEEL_SHARED_KEY and FIRWHEEL_TLS_KEY go before the file. Command check-settings. Links take LinkSecurity; refused links are counted also after the handshake, and a message that can't be handled closes its link alone. Ruled out: the validator's own messages, since some repeat the value given; host name checks in TLS, since peers are named by IP number and each link also proves the shared key.

--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -16,7 +16,6 @@
 import firwheel.wire.LinkIdentity;
 import firwheel.wire.LoadMessage;
 import firwheel.wire.Message;
-import firwheel.wire.SharedKey;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Context;
@@ -107,7 +106,7 @@
     private CompletableFuture<?> listen() {
         LinkIdentity identity = new LinkIdentity(
                 settings.ip() + ":" + settings.port(), settings.availabilityZone(), "agent", incarnation);
-        LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
+        LinkEndpoint endpoint = new LinkEndpoint(vertx, settings.linkSecurity(), identity);
         AdminServer admin = new AdminServer(registry, this::ready, this::status);
         return endpoint.listen(settings.ip(), settings.port(), this::onLink)
                 .thenCompose(server -> {
--- a/cli/src/main/java/firwheel/cli/AgentCommand.java
+++ b/cli/src/main/java/firwheel/cli/AgentCommand.java
@@ -14,7 +14,7 @@
 
     @Override
     public ExitCode run() {
-        AgentSettings settings = SettingsFile.read(settingsFile, AgentSettings.class);
+        AgentSettings settings = SettingsFile.readAndApply(settingsFile, SettingsRole.AGENT, AgentSettings.class);
         Vertx vertx = Vertx.vertx();
         AgentServer agent = AgentServer.start(vertx, settings, RunningTable.follow(vertx, settings.platformUrl()))
                 .join();
--- a/cli/src/main/java/firwheel/cli/Commands.java
+++ b/cli/src/main/java/firwheel/cli/Commands.java
@@ -20,6 +20,7 @@
             new Entry("agent", "Runs an agent beside a target.", AgentCommand::new),
             new Entry("demo", "Runs everything in one process, with stand-ins.", DemoCommand::new),
             new Entry("stand-in", "Runs a stand-in: platform, engine or service.", StandInCommand::new),
+            new Entry("check-settings", "Checks a settings file.", CheckSettingsCommand::new),
             new Entry("version", "Prints the version.", VersionCommand::new));
 
     private Commands() {}
--- a/cli/src/main/java/firwheel/cli/Demo.java
+++ b/cli/src/main/java/firwheel/cli/Demo.java
@@ -37,6 +37,7 @@
     private static final int RANKS = 4;
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
     private static final long BODY_TIMEOUT_MILLIS = 30_000;
+    private static final long IDLE_TIMEOUT_MILLIS = 120_000;
     private static final Duration FIRST_TOKEN_DELAY = Duration.ofMillis(50);
     private static final Duration TOKEN_DELAY = Duration.ofMillis(20);
     private static final Duration SERVICE_DELAY = Duration.ofMillis(5);
@@ -141,7 +142,9 @@
                 LOOPBACK,
                 targetPort,
                 platformUrl,
+                List.of(),
                 SHARED_KEY,
+                null,
                 options.drainLimit().toMillis());
         AgentServer agent = AgentServer.start(vertx, settings, table).join();
         agents.add(agent);
@@ -153,11 +156,15 @@
                 LOOPBACK,
                 port,
                 0,
+                0,
                 ZONE,
                 platformUrl,
+                List.of(),
                 SHARED_KEY,
+                null,
                 MAX_BODY_BYTES,
                 BODY_TIMEOUT_MILLIS,
+                IDLE_TIMEOUT_MILLIS,
                 options.drainLimit().toMillis());
         return EntryServer.start(vertx, settings, table, Routing.defaultPolicy())
                 .join();
--- a/cli/src/main/java/firwheel/cli/EntryCommand.java
+++ b/cli/src/main/java/firwheel/cli/EntryCommand.java
@@ -14,7 +14,7 @@
 
     @Override
     public ExitCode run() {
-        EntrySettings settings = SettingsFile.read(settingsFile, EntrySettings.class);
+        EntrySettings settings = SettingsFile.readAndApply(settingsFile, SettingsRole.ENTRY, EntrySettings.class);
         Vertx vertx = Vertx.vertx();
         EntryServer entry = EntryServer.start(
                         vertx, settings, RunningTable.follow(vertx, settings.platformUrl()), Routing.defaultPolicy())
--- a/cli/src/main/java/firwheel/cli/SettingsFile.java
+++ b/cli/src/main/java/firwheel/cli/SettingsFile.java
@@ -1,22 +1,125 @@
 package firwheel.cli;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import firwheel.model.FirwheelException;
 import firwheel.model.ResultCode;
 import java.io.File;
 import java.io.IOException;
-import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
-/** Reads settings from JSON files. Failures carry {@code FW-9001}. */
+/**
+ * Settings of one process as read from JSON: secrets of the environment are put in, the schema of the role is checked and
+ * defaults are filled in. Failures carry {@code FW-9001} and list all mistakes; they show no value of the file.
+ */
 final class SettingsFile {
-    private SettingsFile() {}
+    /** Environment variable that goes before {@code sharedKey}. */
+    static final String SHARED_KEY_VARIABLE = "FIRWHEEL_SHARED_KEY";
+    /** Environment variable that goes before {@code tls.privateKey}. */
+    static final String TLS_KEY_VARIABLE = "FIRWHEEL_TLS_KEY";
 
-    static <T> T read(File file, Class<T> type) {
+    private static final String ROLE = "role";
+    private static final String LOG_FORMAT = "logFormat";
+
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+
+    private final SettingsRole role;
+    private final LogFormat logFormat;
+    private final ObjectNode json;
+
+    private SettingsFile(SettingsRole role, LogFormat logFormat, ObjectNode json) {
+        this.role = role;
+        this.logFormat = logFormat;
+        this.json = json;
+    }
+
+    /** Reads settings of whichever role the file names. */
+    static SettingsFile read(File file, Map<String, String> environment) {
+        ObjectNode json = parse(file);
+        SettingsRole role = SettingsRole.ofLabel(json.path(ROLE).asText())
+                .orElseThrow(() ->
+                        new FirwheelException(ResultCode.BAD_SETTINGS, file + "\n  $.role: must be entry or agent"));
+        overrideSecrets(json, environment);
+        SettingsSchema schema = SettingsSchema.of(role);
+        List<String> mistakes = schema.mistakes(json);
+        if (!mistakes.isEmpty()) {
+            throw new FirwheelException(ResultCode.BAD_SETTINGS, file + "\n  " + String.join("\n  ", mistakes) + "\n");
+        }
+        schema.fillDefaults(json);
+        LogFormat logFormat = LogFormat.ofLabel(json.path(LOG_FORMAT).asText());
+        json.remove(List.of(ROLE, LOG_FORMAT));
+        return new SettingsFile(role, logFormat, json);
+    }
+
+    /** Reads settings of one role and sets the log format that they name. */
+    static <T> T readAndApply(File file, SettingsRole role, Class<T> type) {
+        SettingsFile settings = read(file, System.getenv());
+        if (settings.role() != role) {
+            throw new FirwheelException(
+                    ResultCode.BAD_SETTINGS, file + "\n  $.role: must be " + role.label() + " for this command\n");
+        }
+        settings.logFormat().apply();
+        return settings.as(type);
+    }
+
+    SettingsRole role() {
+        return role;
+    }
+
+    LogFormat logFormat() {
+        return logFormat;
+    }
+
+    /** Returns the settings as their record. */
+    <T> T as(Class<T> type) {
         try {
-            return new ObjectMapper().readValue(file, type);
+            return MAPPER.treeToValue(json, type);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("schema and record differ: " + type.getSimpleName(), e);
+        }
+    }
+
+    private static ObjectNode parse(File file) {
+        try {
+            JsonNode json = MAPPER.readTree(file);
+            if (json instanceof ObjectNode object) {
+                return object;
+            }
+            throw new FirwheelException(ResultCode.BAD_SETTINGS, file + "\n  $: must be an object\n");
+        } catch (JsonProcessingException e) {
+            throw new FirwheelException(ResultCode.BAD_SETTINGS, file + "\n  " + place(e) + ": not valid JSON\n");
         } catch (IOException e) {
-            throw new FirwheelException(
-                    ResultCode.BAD_SETTINGS, "cannot read " + file + ": " + e.getMessage(), Duration.ZERO, e);
+            throw new FirwheelException(ResultCode.BAD_SETTINGS, file + " cannot be read.");
+        }
+    }
+
+    private static String place(JsonProcessingException error) {
+        return Optional.ofNullable(error.getLocation())
+                .map(location -> "line " + location.getLineNr() + ", column " + location.getColumnNr())
+                .orElse("$");
+    }
+
+    private static void overrideSecrets(ObjectNode json, Map<String, String> environment) {
+        String sharedKey = environment.get(SHARED_KEY_VARIABLE);
+        if (sharedKey != null) {
+            json.put("sharedKey", sharedKey);
+        }
+        String tlsKey = environment.get(TLS_KEY_VARIABLE);
+        if (tlsKey != null && !json.has("tls")) {
+            json.putObject("tls");
+        }
+        if (tlsKey != null && json.get("tls") instanceof ObjectNode tls) {
+            tls.put("privateKey", tlsKey);
         }
     }
 }
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -14,7 +14,6 @@
 import firwheel.routing.RoutingView;
 import firwheel.wire.LinkEndpoint;
 import firwheel.wire.LinkIdentity;
-import firwheel.wire.SharedKey;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
@@ -93,7 +92,7 @@
     private CompletableFuture<?> listen() {
         LinkIdentity identity = new LinkIdentity(
                 settings.ip() + ":" + settings.port(), settings.availabilityZone(), "entry", incarnation);
-        LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
+        LinkEndpoint endpoint = new LinkEndpoint(vertx, settings.linkSecurity(), identity);
         links = new AgentLinks(endpoint, report -> {}, metrics::countForeignFrame);
         CallerHandler handler = new CallerHandler(vertx, settings, table, this::run, () -> draining, metrics);
         AdminServer admin = new AdminServer(metrics.registry(), this::ready, this::status);
--- a/wire/src/main/java/firwheel/wire/Link.java
+++ b/wire/src/main/java/firwheel/wire/Link.java
@@ -8,6 +8,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -27,25 +28,33 @@
 
     private static final int MAX_HANDSHAKE_FRAME_BYTES = 4 * 1024;
     private static final int LENGTH_BYTES = 4;
-    private static final long HANDSHAKE_TIMEOUT_MILLIS = 3_000;
     private static final Logger logger = LoggerFactory.getLogger(Link.class);
 
     private final NetSocket socket;
     private final MessageCodec codec;
     private final Handshake handshake;
     private final RecordParser parser;
+    private final Runnable onRefused;
     private final CompletableFuture<Link> established = new CompletableFuture<>();
     private Consumer<Message> messageHandler = message -> {};
     private Runnable closeHandler = () -> {};
     private boolean readingLength = true;
+    private boolean refused;
     private boolean closed;
 
-    private Link(Vertx vertx, NetSocket socket, MessageCodec codec, Handshake handshake) {
+    private Link(
+            Vertx vertx,
+            NetSocket socket,
+            MessageCodec codec,
+            Handshake handshake,
+            Duration handshakeTimeout,
+            Runnable onRefused) {
         this.socket = socket;
         this.codec = codec;
         this.handshake = handshake;
+        this.onRefused = onRefused;
         parser = RecordParser.newFixed(LENGTH_BYTES, this::onRecord);
-        long timer = vertx.setTimer(HANDSHAKE_TIMEOUT_MILLIS, id -> {
+        long timer = vertx.setTimer(handshakeTimeout.toMillis(), id -> {
             if (!handshake.complete()) {
                 reject(new FirwheelException(ResultCode.LINK_UNAUTHENTICATED, "no handshake in time"));
             }
@@ -58,10 +67,18 @@
         });
     }
 
-    /** Starts the handshake on a connected socket; the future completes when the peer is authenticated. */
+    /**
+     * Starts the handshake on a connected socket; the future completes when the peer is authenticated. {@code onRefused}
+     * runs when the peer fails authentication or sends a bad frame, then or later.
+     */
     static CompletableFuture<Link> establish(
-            Vertx vertx, NetSocket socket, MessageCodec codec, SharedKey key, LinkIdentity self, boolean initiator) {
-        Link link = new Link(vertx, socket, codec, new Handshake(key, self, initiator));
+            Vertx vertx,
+            NetSocket socket,
+            MessageCodec codec,
+            Handshake handshake,
+            Duration handshakeTimeout,
+            Runnable onRefused) {
+        Link link = new Link(vertx, socket, codec, handshake, handshakeTimeout, onRefused);
         link.write(link.handshake.hello());
         return link.established;
     }
@@ -114,7 +131,7 @@
     }
 
     private void onRecord(Buffer record) {
-        if (closed) {
+        if (closed || refused) {
             return;
         }
         try {
@@ -127,6 +144,9 @@
             }
         } catch (FirwheelException e) {
             reject(e);
+        } catch (RuntimeException e) {
+            logger.atWarn().setCause(e).log("message could not be handled");
+            reject(new FirwheelException(ResultCode.BAD_FRAME, "message could not be handled", Duration.ZERO, e));
         }
     }
 
@@ -154,6 +174,11 @@
     }
 
     private void reject(FirwheelException reason) {
+        if (refused) {
+            return;
+        }
+        refused = true;
+        onRefused.run();
         Events.log(logger, EventCode.LINK_REFUSED, "peer", socket.remoteAddress(), "reason", reason.getMessage());
         established.completeExceptionally(reason);
         socket.close();
--- a/wire/src/main/java/firwheel/wire/LinkEndpoint.java
+++ b/wire/src/main/java/firwheel/wire/LinkEndpoint.java
@@ -1,33 +1,42 @@
 package firwheel.wire;
 
+import firwheel.model.EventCode;
+import firwheel.model.Events;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Opens and accepts links on behalf of one process. */
 public final class LinkEndpoint {
-    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(3);
+    private static final Logger logger = LoggerFactory.getLogger(LinkEndpoint.class);
 
     private final Vertx vertx;
-    private final SharedKey key;
+    private final LinkSecurity security;
     private final LinkIdentity self;
+    private final Duration handshakeTimeout;
     private final MessageCodec codec = new MessageCodec();
     private final NetClient client;
     private final AtomicLong refusedLinks = new AtomicLong();
 
     /** Creates an endpoint; call it on the event loop that will carry its links. */
-    public LinkEndpoint(Vertx vertx, SharedKey key, LinkIdentity self) {
+    public LinkEndpoint(Vertx vertx, LinkSecurity security, LinkIdentity self) {
+        this(vertx, security, self, HANDSHAKE_TIMEOUT);
+    }
+
+    LinkEndpoint(Vertx vertx, LinkSecurity security, LinkIdentity self, Duration handshakeTimeout) {
         this.vertx = vertx;
-        this.key = key;
+        this.security = security;
         this.self = self;
-        client = vertx.createNetClient(
-                new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true));
+        this.handshakeTimeout = handshakeTimeout;
+        client = vertx.createNetClient(LinkTransport.client(security.tls()));
     }
 
     /** Returns the identity that peers see. */
@@ -35,7 +44,7 @@
         return self;
     }
 
-    /** Returns how many connections failed authentication or sent a bad first frame. */
+    /** Returns how many connections were closed because the peer failed authentication or sent a bad frame. */
     public long refusedLinks() {
         return refusedLinks.get();
     }
@@ -45,24 +54,26 @@
         return client.connect(port, ip)
                 .toCompletionStage()
                 .toCompletableFuture()
-                .thenCompose(socket -> Link.establish(vertx, socket, codec, key, self, true));
+                .thenCompose(socket -> establish(socket, true));
     }
 
     /** Listens for peers; {@code accepted} is called on the event loop with each authenticated link. */
     public CompletableFuture<NetServer> listen(String ip, int port, Consumer<Link> accepted) {
-        NetServer server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
+        NetServer server = vertx.createNetServer(LinkTransport.server(security.tls()));
         server.connectHandler(socket -> {
-            var unused = Link.establish(vertx, socket, codec, key, self, false)
-                    .whenComplete((link, error) -> onAccepted(link, accepted));
+            var unused = establish(socket, false).thenAccept(accepted);
         });
+        server.exceptionHandler(this::onTlsRefused);
         return server.listen(port, ip).toCompletionStage().toCompletableFuture();
     }
 
-    private void onAccepted(@Nullable Link link, Consumer<Link> accepted) {
-        if (link == null) {
-            refusedLinks.incrementAndGet();
-        } else {
-            accepted.accept(link);
-        }
+    private CompletableFuture<Link> establish(NetSocket socket, boolean initiator) {
+        Handshake handshake = new Handshake(security.key(), self, initiator);
+        return Link.establish(vertx, socket, codec, handshake, handshakeTimeout, refusedLinks::incrementAndGet);
+    }
+
+    private void onTlsRefused(Throwable error) {
+        refusedLinks.incrementAndGet();
+        Events.log(logger, EventCode.LINK_REFUSED, "reason", "TLS: " + error.getMessage());
     }
 }
