--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/routing/RoutingSimulation.java
@@ -0,0 +1,177 @@
+package firwheel.bench.routing;
+
+import firwheel.model.RankAddress;
+import firwheel.model.RankKey;
+import firwheel.model.RowState;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import firwheel.routing.LoadReport;
+import firwheel.routing.RandomBits;
+import firwheel.routing.RoutingPolicy;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+
+/** One run: entries that do not see each other send requests to lock-step groups. */
+final class RoutingSimulation {
+    private static final int GROUPS = 4;
+    private static final int RANKS_PER_GROUP = 8;
+    private static final int ENTRIES = 18;
+    private static final int PREFIXES = 400;
+    private static final int PREFIX_BLOCKS = 16;
+    private static final int PROBES_PER_REQUEST = 3;
+    private static final double WARM_UP_SECONDS = 20;
+    private static final double END_SECONDS = 60;
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    private static final long REPORT_INTERVAL_NANOS = Duration.ofMillis(100).toNanos();
+    private static final long PROBE_NANOS = Duration.ofMillis(1).toNanos();
+
+    private final RoutingPoint point;
+    private final VirtualLoop loop = new VirtualLoop();
+    private final RoutingMeasures measures = new RoutingMeasures();
+    private final List<LockStepGroup> groups = new ArrayList<>();
+    private final List<SimulatedEntry> entries = new ArrayList<>();
+    private final List<List<Long>> prefixHashes = new ArrayList<>();
+    private final SplittableRandom random;
+    private final Zipf prefixChoice;
+    private final Zipf entryChoice;
+
+    private RoutingSimulation(RoutingPoint point, Function<RandomBits, RoutingPolicy> policies) {
+        this.point = point;
+        this.random = new SplittableRandom(point.seed());
+        this.prefixChoice = new Zipf(PREFIXES, point.arrivals().prefixExponent());
+        this.entryChoice = new Zipf(ENTRIES, point.arrivals().entryExponent());
+        for (int group = 0; group < GROUPS; group++) {
+            groups.add(group(group));
+        }
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            RoutingPolicy policy = policies.apply(RandomBits.seeded(point.seed() * 1_000 + entry));
+            entries.add(new SimulatedEntry(policy, loop, table()));
+        }
+        SplittableRandom hashes = new SplittableRandom(1);
+        for (int prefix = 0; prefix < PREFIXES; prefix++) {
+            prefixHashes.add(LongStream.generate(hashes::nextLong)
+                    .limit(PREFIX_BLOCKS)
+                    .boxed()
+                    .toList());
+        }
+    }
+
+    /** Runs one point with one policy for each entry. */
+    static RoutingResult run(RoutingPoint point, Function<RandomBits, RoutingPolicy> policies) {
+        RoutingSimulation simulation = new RoutingSimulation(point, policies);
+        simulation.start();
+        return simulation.measures.result();
+    }
+
+    private void start() {
+        for (LockStepGroup group : groups) {
+            for (SimulatedRank rank : group.ranks()) {
+                loop.after(random.nextLong(REPORT_INTERVAL_NANOS), () -> reportLoad(rank));
+            }
+        }
+        loop.after(Math.round(WARM_UP_SECONDS * NANOS_PER_SECOND), measures::start);
+        scheduleArrival();
+        loop.runUntil(Math.round(END_SECONDS * NANOS_PER_SECOND));
+    }
+
+    private void reportLoad(SimulatedRank rank) {
+        LoadReport report = rank.report(loop.nowNanos());
+        long lagNanos = Duration.ofMillis(point.lagMillis()).toNanos();
+        loop.after(lagNanos, () -> entries.forEach(entry -> entry.onReport(rank.key, report)));
+        loop.after(REPORT_INTERVAL_NANOS, () -> reportLoad(rank));
+    }
+
+    private void scheduleArrival() {
+        double capacity = EngineModel.capacityPerRank() * GROUPS * RANKS_PER_GROUP;
+        double rate = capacity * point.loadPercent() / 100 * point.arrivals().rate(seconds());
+        double gapSeconds = -Math.log(1 - random.nextDouble()) / rate;
+        loop.after(Math.round(gapSeconds * NANOS_PER_SECOND), this::arrive);
+    }
+
+    private void arrive() {
+        SimulatedEntry entry = entries.get(entryChoice.draw(random));
+        int prefix = (prefixChoice.draw(random) + point.arrivals().prefixShift(seconds())) % PREFIXES;
+        double scale = point.arrivals().promptScale(seconds() / END_SECONDS);
+        int unique = size(EngineModel.MEAN_UNIQUE_TOKENS * scale);
+        int output = size(EngineModel.MEAN_OUTPUT_TOKENS);
+        SimulatedRequest request = new SimulatedRequest(entry, prefix, unique, output, loop.nowNanos());
+        dispatch(request);
+        scheduleArrival();
+    }
+
+    private void dispatch(SimulatedRequest request) {
+        List<Long> hashes = prefixHashes.get(request.prefix);
+        SimulatedEntry entry = request.entry;
+        List<RankKey> targets = entry.probeTargets(request, hashes, PROBES_PER_REQUEST);
+        send(request, hashes);
+        for (RankKey target : targets) {
+            loop.after(PROBE_NANOS, () -> entry.onProbe(target, rank(target).report(loop.nowNanos())));
+        }
+    }
+
+    private void send(SimulatedRequest request, List<Long> hashes) {
+        RankKey chosen = request.entry.choose(request, hashes);
+        if (chosen == null) {
+            measures.onRefused();
+            return;
+        }
+        groups.get(Integer.parseInt(chosen.row())).add(chosen.rank(), request);
+    }
+
+    private SimulatedRank rank(RankKey key) {
+        return groups.get(Integer.parseInt(key.row())).ranks().get(key.rank());
+    }
+
+    private double seconds() {
+        return (double) loop.nowNanos() / NANOS_PER_SECOND;
+    }
+
+    /** Draws a size from a log-normal distribution with this mean. */
+    private int size(double mean) {
+        double sigma = point.arrivals().sizeSigma();
+        double drawn = mean * Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2);
+        return (int) Math.max(8, Math.min(8 * mean, drawn));
+    }
+
+    private LockStepGroup group(int number) {
+        List<SimulatedRank> ranks = IntStream.range(0, RANKS_PER_GROUP)
+                .mapToObj(rank -> new SimulatedRank(new RankKey(String.valueOf(number), rank), measures))
+                .toList();
+        return new LockStepGroup(loop, measures, ranks);
+    }
+
+    private static TableSnapshot table() {
+        List<RankAddress> hosts = IntStream.range(0, RANKS_PER_GROUP)
+                .mapToObj(rank -> new RankAddress(rank, "127.0.0.1", 7_000 + rank))
+                .toList();
+        List<TargetRow> rows = IntStream.range(0, GROUPS)
+                .mapToObj(group -> row(String.valueOf(group), hosts))
+                .toList();
+        return new TableSnapshot(1, rows);
+    }
+
+    private static TargetRow row(String name, List<RankAddress> hosts) {
+        return new TargetRow(
+                name,
+                TargetKind.MODEL,
+                List.of(SimulatedEntry.MODEL),
+                SimulatedEntry.ZONE,
+                RowState.SERVING,
+                1,
+                EngineModel.MAX_RUNNING,
+                10_000,
+                Long.MAX_VALUE,
+                true,
+                hosts,
+                true,
+                true,
+                1,
+                1);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/routing/SimulatedEntry.java
@@ -0,0 +1,80 @@
+package firwheel.bench.routing;
+
+import firwheel.model.Priority;
+import firwheel.model.RankKey;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.routing.LoadReport;
+import firwheel.routing.LoadTracker;
+import firwheel.routing.RouteDecision;
+import firwheel.routing.RouteRequest;
+import firwheel.routing.RoutingPolicy;
+import firwheel.routing.TokenAwarePolicy;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** One entry host: a policy and what this host alone knows. */
+final class SimulatedEntry {
+    static final String MODEL = "model";
+    static final String ZONE = "zone";
+
+    private final RoutingPolicy policy;
+    private final boolean usesReplies;
+    private final LoadTracker tracker;
+    private final TableSnapshot table;
+
+    /** Creates an entry; baselines see the lagged reports only. */
+    SimulatedEntry(RoutingPolicy policy, VirtualLoop loop, TableSnapshot table) {
+        this.usesReplies = policy instanceof TokenAwarePolicy;
+        this.policy = policy;
+        this.tracker = new LoadTracker(loop.time());
+        this.table = table;
+    }
+
+    /** Returns the chosen rank, or null if the request is refused. */
+    @Nullable
+    RankKey choose(SimulatedRequest request, List<Long> prefixHashes) {
+        RouteDecision decision = policy.choose(routeRequest(request, prefixHashes), tracker.view(table, ZONE));
+        if (decision instanceof RouteDecision.Chosen chosen) {
+            tracker.onDispatch(chosen.key(), request.estimatedTokens());
+            return chosen.key();
+        }
+        return null;
+    }
+
+    List<RankKey> probeTargets(SimulatedRequest request, List<Long> prefixHashes, int count) {
+        return policy.probeTargets(routeRequest(request, prefixHashes), tracker.view(table, ZONE), count);
+    }
+
+    void onProbe(RankKey key, LoadReport report) {
+        tracker.onProbe(TargetKind.MODEL, MODEL, key, report);
+    }
+
+    void onReport(RankKey key, LoadReport report) {
+        tracker.onReport(key, report);
+    }
+
+    /** Takes a part of an answer, to which the agent adds the load that it sees. */
+    void onToken(RankKey key, LoadReport report) {
+        tracker.onProgress(key);
+        if (usesReplies) {
+            tracker.onReport(key, report);
+        }
+    }
+
+    void onFinish(RankKey key, SimulatedRequest request) {
+        tracker.onFinish(key, request.estimatedTokens());
+    }
+
+    private static RouteRequest routeRequest(SimulatedRequest request, List<Long> prefixHashes) {
+        return new RouteRequest(
+                TargetKind.MODEL,
+                MODEL,
+                "organisation",
+                Priority.NORMAL,
+                prefixHashes,
+                request.estimatedTokens(),
+                Set.of());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/routing/VirtualLoop.java
@@ -0,0 +1,44 @@
+package firwheel.bench.routing;
+
+import firwheel.model.ManualTimeSource;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.PriorityQueue;
+
+/** Runs actions in the order of their virtual times; those of one time in the order in which they were added. */
+final class VirtualLoop {
+    private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
+    private final PriorityQueue<Action> actions = new PriorityQueue<>();
+    private long added;
+
+    ManualTimeSource time() {
+        return time;
+    }
+
+    long nowNanos() {
+        return time.monotonicNanos();
+    }
+
+    /** Runs {@code body} after {@code delayNanos} of virtual time. */
+    void after(long delayNanos, Runnable body) {
+        actions.add(new Action(nowNanos() + delayNanos, added, body));
+        added++;
+    }
+
+    /** Runs all actions up to {@code endNanos}. */
+    void runUntil(long endNanos) {
+        while (!actions.isEmpty() && actions.peek().atNanos() <= endNanos) {
+            Action next = actions.remove();
+            time.advance(Duration.ofNanos(next.atNanos() - nowNanos()));
+            next.body().run();
+        }
+    }
+
+    private record Action(long atNanos, long order, Runnable body) implements Comparable<Action> {
+        @Override
+        public int compareTo(Action other) {
+            int byTime = Long.compare(atNanos, other.atNanos);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/routing/Zipf.java
@@ -0,0 +1,24 @@
+package firwheel.bench.routing;
+
+import java.util.Arrays;
+import java.util.random.RandomGenerator;
+
+/** Draws numbers whose popularity falls with a power of their rank; an exponent of 0 makes them all alike. */
+final class Zipf {
+    private final double[] cumulative;
+
+    Zipf(int count, double exponent) {
+        cumulative = new double[count];
+        double sum = 0;
+        for (int i = 0; i < count; i++) {
+            sum += Math.pow(i + 1, -exponent);
+            cumulative[i] = sum;
+        }
+    }
+
+    int draw(RandomGenerator random) {
+        double point = random.nextDouble() * cumulative[cumulative.length - 1];
+        int found = Arrays.binarySearch(cumulative, point);
+        return Math.min(cumulative.length - 1, found >= 0 ? found : -found - 1);
+    }
+}
--- a/routing/src/main/java/firwheel/routing/RankGroup.java
+++ b/routing/src/main/java/firwheel/routing/RankGroup.java
@@ -38,13 +38,13 @@
         return servingSinceNanos;
     }
 
-    /** Returns the summary of the group's load, read again when it is older than {@code maxAgeNanos}. */
-    GroupLoad load(RoutingView view, long maxAgeNanos) {
+    /** Returns the summary of the group's load, read again when it is too old. */
+    GroupLoad load(RoutingView view, LoadReading reading) {
         GroupLoad known = load;
-        if (known != null && view.nowNanos() - known.takenAtNanos() <= maxAgeNanos) {
+        if (known != null && view.nowNanos() - known.takenAtNanos() <= reading.maxAgeNanos()) {
             return known;
         }
-        GroupLoad read = GroupLoad.read(this, view);
+        GroupLoad read = GroupLoad.read(this, view, reading.tokensPerRequest());
         load = read;
         return read;
     }
--- a/routing/src/main/java/firwheel/routing/RankRecord.java
+++ b/routing/src/main/java/firwheel/routing/RankRecord.java
@@ -12,19 +12,20 @@
     private final Deque<OwnChange> changes = new ArrayDeque<>();
     private LoadReport report = new LoadReport(0, 0, 0, 0, 0, 0);
     private long ownTokens;
+    private int ownRequests;
     private int ownOpen;
     private RankLoad healthy = RankLoad.UNKNOWN;
 
     /** Notes that this entry sent a request. */
     synchronized void onDispatch(long tokens, long nowNanos) {
         ownOpen++;
-        change(tokens, nowNanos);
+        change(new OwnChange(nowNanos, tokens, 1));
     }
 
     /** Notes that a request of this entry has ended, in whatever way. */
     synchronized void onFinish(long tokens, long nowNanos) {
         ownOpen--;
-        change(-tokens, nowNanos);
+        change(new OwnChange(nowNanos, -tokens, -1));
     }
 
     /** Notes a part of an answer. */
@@ -39,7 +40,7 @@
         }
         report = newer;
         while (!changes.isEmpty() && changes.getFirst().atNanos() < newer.takenAtNanos()) {
-            ownTokens -= changes.removeFirst().tokens();
+            forgetOldest();
         }
         stall.onReport(newer, nowNanos);
         healthy = load(1.0);
@@ -51,13 +52,20 @@
         return share >= 1.0 ? healthy : load(share);
     }
 
-    private void change(long tokens, long nowNanos) {
-        changes.addLast(new OwnChange(nowNanos, tokens));
-        ownTokens += tokens;
+    private void forgetOldest() {
+        OwnChange oldest = changes.removeFirst();
+        ownTokens -= oldest.tokens();
+        ownRequests -= oldest.requests();
+    }
+
+    private void change(OwnChange change) {
+        changes.addLast(change);
+        ownTokens += change.tokens();
+        ownRequests += change.requests();
         if (changes.size() > MAX_CHANGES) {
-            ownTokens -= changes.removeFirst().tokens();
+            forgetOldest();
         }
-        stall.onOpenRequests(ownOpen, nowNanos);
+        stall.onOpenRequests(ownOpen, change.atNanos());
         healthy = load(1.0);
     }
 
@@ -68,9 +76,10 @@
                 report.queued(),
                 report.takenAtNanos(),
                 ownTokens,
+                ownRequests,
                 ownOpen,
                 share);
     }
 
-    private record OwnChange(long atNanos, long tokens) {}
+    private record OwnChange(long atNanos, long tokens, int requests) {}
 }
--- a/routing/src/main/java/firwheel/routing/StallDetector.java
+++ b/routing/src/main/java/firwheel/routing/StallDetector.java
@@ -10,6 +10,9 @@
     /** A step this many times as long as usual is a stall. */
     private static final double STEP_RATIO = 4.0;
 
+    /** Shorter steps are never a stall: an idle rank's usual step is short. */
+    private static final long MIN_STALL_STEP_MICROS = 250_000;
+
     private static final double STEP_MEMORY = 0.05;
     private static final double FIRST_SHARE = 0.1;
     private static final long SILENCE_MILLIS = 1_500;
@@ -70,7 +73,7 @@
         if (usualStepMicros == 0) {
             usualStepMicros = stepMicros;
         }
-        slow = stepMicros > STEP_RATIO * usualStepMicros;
+        slow = stepMicros >= MIN_STALL_STEP_MICROS && stepMicros > STEP_RATIO * usualStepMicros;
         if (!slow) {
             usualStepMicros += STEP_MEMORY * (stepMicros - usualStepMicros);
         }
--- a/routing/src/main/java/firwheel/routing/TokenAwarePolicy.java
+++ b/routing/src/main/java/firwheel/routing/TokenAwarePolicy.java
@@ -26,13 +26,15 @@
     private final Map<String, ZoneSpill> spills = new ConcurrentHashMap<>();
     private final TokenAwareSettings settings;
     private final RandomBits random;
+    private final LoadReading reading;
     private final TokenScore score;
 
     /** Creates a policy with no history. */
     public TokenAwarePolicy(TokenAwareSettings settings, RandomBits random) {
         this.settings = settings;
         this.random = random;
-        this.score = new TokenScore(settings, GROUP_LOAD_AGE_NANOS);
+        this.reading = new LoadReading(GROUP_LOAD_AGE_NANOS, settings.tokensPerRequest());
+        this.score = new TokenScore(settings, reading);
     }
 
     @Override
@@ -55,12 +57,7 @@
         return anyAtLimit(served.all(), view) ? Refusals.saturated() : Refusals.noTarget();
     }
 
-    /**
-     * Returns the ranks whose fresh load would serve a decision on this request best: the homes of its prefix, then ranks
-     * drawn at random.
-     *
-     * @param count how many to return at most
-     */
+    @Override
     public List<RankKey> probeTargets(RouteRequest request, RoutingView view, int count) {
         ServedRanks served = indexes.of(view).served(request.kind(), request.servedName());
         if (served == null) {
@@ -95,7 +92,7 @@
         double sum = 0;
         for (int i = 0; i < sampled; i++) {
             RankGroup group = groups.get((start + i) % groups.size());
-            sum += group.load(view, GROUP_LOAD_AGE_NANOS).occupancy();
+            sum += group.load(view, reading).occupancy();
         }
         return sum / sampled;
     }
--- a/routing/src/main/java/firwheel/routing/TokenAwareSettings.java
+++ b/routing/src/main/java/firwheel/routing/TokenAwareSettings.java
@@ -7,6 +7,7 @@
  *
  * @param homes ranks that a prefix is placed on
  * @param samples ranks drawn at random beside those
+ * @param tokensPerRequest work, in tokens, that a request is beside its tokens
  * @param loadBound multiple of the mean load beyond which a home loses its advantage
  * @param missingPrefixCost load, in parts of the missing tokens, that a rank without the prefix is charged
  * @param stragglerCost load, in parts of the excess over its group's mean, that a rank above it is charged
@@ -18,6 +19,7 @@
 public record TokenAwareSettings(
         int homes,
         int samples,
+        double tokensPerRequest,
         double loadBound,
         double missingPrefixCost,
         double stragglerCost,
@@ -26,8 +28,8 @@
         double otherZoneCost,
         Duration rampUp) {
     /** Settings in use. */
-    public static final TokenAwareSettings DEFAULTS =
-            new TokenAwareSettings(4, 4, 1.1, 0.5, 1.0, Duration.ofSeconds(2), 0.02, 0.25, Duration.ofSeconds(20));
+    public static final TokenAwareSettings DEFAULTS = new TokenAwareSettings(
+            4, 4, 3_000, 1.05, 40.0, 4.0, Duration.ofSeconds(2), 0.0, 0.25, Duration.ofSeconds(20));
 
     public TokenAwareSettings {
         if (homes < 0 || samples < 1 || loadBound < 1) {
--- a/routing/src/main/java/firwheel/routing/TokenScore.java
+++ b/routing/src/main/java/firwheel/routing/TokenScore.java
@@ -1,6 +1,6 @@
 package firwheel.routing;
 
-/** Rates a rank by its estimated outstanding tokens over its weight, plus what a missing prefix and distance cost. */
+/** Rates a rank by its estimated outstanding work over its weight, plus what a missing prefix and distance cost. */
 final class TokenScore {
     private static final double FIRST_RAMP_SHARE = 0.1;
 
@@ -8,13 +8,13 @@
     private static final int SHARED_BLOCKS = 16;
 
     private final TokenAwareSettings settings;
-    private final long groupLoadAgeNanos;
+    private final LoadReading reading;
     private final long rampUpNanos;
     private final double reportMemoryNanos;
 
-    TokenScore(TokenAwareSettings settings, long groupLoadAgeNanos) {
+    TokenScore(TokenAwareSettings settings, LoadReading reading) {
         this.settings = settings;
-        this.groupLoadAgeNanos = groupLoadAgeNanos;
+        this.reading = reading;
         this.rampUpNanos = settings.rampUp().toNanos();
         this.reportMemoryNanos = settings.reportMemory().toNanos();
     }
@@ -25,16 +25,16 @@
         if (load.stalled() || atLimit(rank, load) || request.excluded().contains(rank.key())) {
             return Double.POSITIVE_INFINITY;
         }
-        double meanTokens = groupMean(rank, load, view);
-        double tokens = estimate(load, meanTokens, view.nowNanos());
+        double meanWork = groupMean(rank, load, view);
+        double work = estimate(load, meanWork, view.nowNanos());
         double share = load.admissionShare() * rank.group().rampShare(view.nowNanos(), rampUpNanos, FIRST_RAMP_SHARE);
-        double score = (tokens + request.estimatedTokens()) / (rank.row().weight() * share);
-        score += settings.stragglerCost() * Math.max(0, tokens - meanTokens);
+        double score = (work + request.estimatedTokens()) / (rank.row().weight() * share);
+        score += settings.stragglerCost() * Math.max(0, work - meanWork);
         if (!home) {
             score += settings.missingPrefixCost() * sharedTokens(request);
         }
         if (!rank.row().availabilityZone().equals(view.ownZone())) {
-            score += settings.otherZoneCost() * meanTokens;
+            score += settings.otherZoneCost() * meanWork;
         }
         return score;
     }
@@ -42,28 +42,28 @@
     /** Returns whether the rank, with the request added, stays within the bound over its group's mean. */
     boolean withinBound(RankCandidate rank, RouteRequest request, RoutingView view) {
         RankLoad load = view.load(rank.key());
-        double meanTokens = groupMean(rank, load, view);
-        double tokens = estimate(load, meanTokens, view.nowNanos());
-        return tokens <= settings.loadBound() * meanTokens + request.estimatedTokens();
+        double meanWork = groupMean(rank, load, view);
+        double work = estimate(load, meanWork, view.nowNanos());
+        return work <= settings.loadBound() * meanWork + settings.tokensPerRequest() + request.estimatedTokens();
     }
 
     /** Returns whether the rank's agent would refuse by the newest report. */
     static boolean atLimit(RankCandidate rank, RankLoad load) {
-        return load.reportedInFlight() + load.reportedQueued() >= rank.maxRequests();
+        return load.estimatedRequests() >= rank.maxRequests();
     }
 
     private double groupMean(RankCandidate rank, RankLoad load, RoutingView view) {
         boolean alone = rank.group().ranks().size() == 1;
         return alone
-                ? load.estimatedTokens()
-                : rank.group().load(view, groupLoadAgeNanos).meanTokens();
+                ? load.estimatedWork(reading.tokensPerRequest())
+                : rank.group().load(view, reading).meanWork();
     }
 
     /** The older a report, the less its difference from the mean says, since all entries have acted on it. */
-    private double estimate(RankLoad load, double meanTokens, long nowNanos) {
+    private double estimate(RankLoad load, double meanWork, long nowNanos) {
         double ageNanos = Math.max(0, nowNanos - load.reportedAtNanos());
         double kept = reportMemoryNanos / (reportMemoryNanos + ageNanos);
-        return meanTokens + kept * (load.estimatedTokens() - meanTokens);
+        return meanWork + kept * (load.estimatedWork(reading.tokensPerRequest()) - meanWork);
     }
 
     private static double sharedTokens(RouteRequest request) {
