--- /dev/null
+++ b/routing/src/main/java/firwheel/routing/RetryBudgets.java
@@ -0,0 +1,58 @@
+package firwheel.routing;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+
+/** The retry budgets of one entry: one for each row that fails and one for the entry as a whole. Thread-safe. */
+public final class RetryBudgets {
+    /** Retries earned by one success. */
+    public static final double RETRIES_PER_SUCCESS = 0.05;
+
+    /** Retries that can be saved up. */
+    public static final double MAX_SAVED_RETRIES = 5;
+
+    private final Supplier<RetryBudget> newBudget;
+    private final RetryBudget entry;
+    private final Map<String, RetryBudget> rows = new ConcurrentHashMap<>();
+
+    /** Creates budgets of the usual size. */
+    public RetryBudgets() {
+        this(() -> new RetryBudget(RETRIES_PER_SUCCESS, MAX_SAVED_RETRIES));
+    }
+
+    /** Creates budgets as {@code newBudget} makes them. */
+    public RetryBudgets(Supplier<RetryBudget> newBudget) {
+        this.newBudget = newBudget;
+        this.entry = newBudget.get();
+    }
+
+    /** Notes a request that ended well at a row. */
+    public void onSuccess(String row) {
+        row(row).onSuccess();
+        entry.onSuccess();
+    }
+
+    /** Takes one retry of an attempt that failed at this row, or returns false if a budget is spent. */
+    public boolean tryRetry(String failedRow) {
+        RetryBudget row = row(failedRow);
+        if (!row.tryRetry()) {
+            return false;
+        }
+        if (!entry.tryRetry()) {
+            row.giveBack();
+            return false;
+        }
+        return true;
+    }
+
+    /** Forgets the rows that are not in the table. */
+    public void retain(Set<String> rowNames) {
+        rows.keySet().retainAll(rowNames);
+    }
+
+    private RetryBudget row(String name) {
+        return rows.computeIfAbsent(name, unused -> newBudget.get());
+    }
+}
