--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/AuditCommand.java
@@ -0,0 +1,50 @@
+package firwheel.cli;
+
+import firwheel.table.AuditRecord;
+import firwheel.table.AuditTrail;
+import firwheel.table.OrderAudit;
+import firwheel.table.OrderRecord;
+import java.time.Instant;
+import java.util.List;
+import org.kohsuke.args4j.Option;
+
+/** Shows who changed which field from what to what, when and why. */
+final class AuditCommand implements Command {
+    @Option(name = "--platform", metaVar = "URL", required = true, usage = "address of the platform")
+    private String platformUrl = "";
+
+    @Option(name = "--since", metaVar = "REVISION", usage = "show changes after this revision")
+    private long since;
+
+    @Option(name = "--row", metaVar = "NAME", usage = "show changes of this row only")
+    private String row = "";
+
+    @Option(name = "--orders", usage = "show controllers' orders in place of changes")
+    private boolean orders;
+
+    @Override
+    public ExitCode run() {
+        try (OperatorPlatform platform = new OperatorPlatform(platformUrl)) {
+            if (orders) {
+                List<OrderRecord> records = OperatorPlatform.await(new OrderAudit(platform.service()).read(""));
+                records.forEach(AuditCommand::print);
+            } else {
+                List<AuditRecord> records = OperatorPlatform.await(AuditTrail.changes(platform.service(), since));
+                records.stream().filter(this::wanted).forEach(record -> AuditTrail.lines(record)
+                        .forEach(System.out::println));
+            }
+            return ExitCode.DONE;
+        }
+    }
+
+    private boolean wanted(AuditRecord record) {
+        return row.isEmpty()
+                || record.changes().stream().anyMatch(change -> change.name().equals(row));
+    }
+
+    private static void print(OrderRecord record) {
+        System.out.println("zone " + record.availabilityZone() + " at " + Instant.ofEpochMilli(record.atMillis())
+                + " by " + record.holderId() + ", fencing number " + record.fencingNumber() + ": " + record.reason());
+        record.orders().forEach(order -> System.out.println("  " + order));
+    }
+}
--- a/cli/src/main/java/firwheel/cli/Commands.java
+++ b/cli/src/main/java/firwheel/cli/Commands.java
@@ -18,6 +18,12 @@
     static final List<Entry> ALL = List.of(
             new Entry("entry", "Runs an entry.", EntryCommand::new),
             new Entry("agent", "Runs an agent beside a target.", AgentCommand::new),
+            new Entry("table export", "Prints the table as CSV.", TableExportCommand::new),
+            new Entry("table check", "Checks a table file.", TableCheckCommand::new),
+            new Entry("table diff", "Shows what a table file would change.", TableDiffCommand::new),
+            new Entry("table apply", "Applies a table file.", TableApplyCommand::new),
+            new Entry("audit", "Shows who changed what, when and why.", AuditCommand::new),
+            new Entry("status", "Shows the revision that each host has in force.", StatusCommand::new),
             new Entry("demo", "Runs everything in one process, with stand-ins.", DemoCommand::new),
             new Entry("stand-in", "Runs a stand-in: platform, engine or service.", StandInCommand::new),
             new Entry("version", "Prints the version.", VersionCommand::new));
--- a/cli/src/main/java/firwheel/cli/Main.java
+++ b/cli/src/main/java/firwheel/cli/Main.java
@@ -24,12 +24,13 @@
             printOverview();
             return args.length == 0 ? ExitCode.BAD_INPUT : ExitCode.DONE;
         }
-        Optional<Commands.Entry> entry = Commands.find(args[0]);
+        int words = args.length > 1 && Commands.find(args[0] + " " + args[1]).isPresent() ? 2 : 1;
+        Optional<Commands.Entry> entry = Commands.find(String.join(" ", Arrays.copyOf(args, words)));
         if (entry.isEmpty()) {
             System.err.println("FW-9002 unknown command " + args[0] + "; see firwheel --help");
             return ExitCode.BAD_INPUT;
         }
-        return run(entry.get(), Arrays.copyOfRange(args, 1, args.length));
+        return run(entry.get(), Arrays.copyOfRange(args, words, args.length));
     }
 
     private static ExitCode run(Commands.Entry entry, String[] options) {
--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/OperatorPlatform.java
@@ -0,0 +1,62 @@
+package firwheel.cli;
+
+import firwheel.model.FirwheelException;
+import firwheel.model.TimeSource;
+import firwheel.platform.Delay;
+import firwheel.platform.HostList;
+import firwheel.platform.HttpPlatform;
+import firwheel.platform.ResilientTableService;
+import firwheel.platform.TableService;
+import firwheel.table.TableCommitter;
+import firwheel.table.TableReader;
+import io.vertx.core.Vertx;
+import java.net.URI;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/** The platform as operators' commands use it. */
+final class OperatorPlatform implements AutoCloseable {
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpPlatform http;
+    private final TableService service;
+
+    OperatorPlatform(String platformUrl) {
+        http = new HttpPlatform(vertx, URI.create(platformUrl), RunningTable.PLATFORM_TIMEOUT);
+        service = new ResilientTableService(
+                http, TimeSource.system(), Delay.system(), Math::random, ResilientTableService.Limits.COMMAND);
+    }
+
+    Vertx vertx() {
+        return vertx;
+    }
+
+    HostList hostList() {
+        return http;
+    }
+
+    TableService service() {
+        return service;
+    }
+
+    TableReader reader() {
+        return new TableReader(service);
+    }
+
+    TableCommitter committer() {
+        return new TableCommitter(service, TimeSource.system(), Delay.system());
+    }
+
+    /** Waits for a result; failures are thrown as numbered failures. */
+    static <T> T await(CompletableFuture<T> future) {
+        try {
+            return future.join();
+        } catch (CompletionException e) {
+            throw FirwheelException.of(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        var unused = vertx.close();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/TableDiffCommand.java
@@ -0,0 +1,41 @@
+package firwheel.cli;
+
+import firwheel.model.TableSnapshot;
+import firwheel.table.AuditRecord;
+import firwheel.table.AuditTrail;
+import firwheel.table.RowChange;
+import firwheel.table.TableDiff;
+import firwheel.table.TableMerge;
+import java.io.File;
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Shows what applying a table file would change, and where it conflicts. */
+final class TableDiffCommand implements Command {
+    @Argument(metaVar = "FILE", required = true, usage = "table in CSV")
+    private File file = new File("");
+
+    @Option(name = "--platform", metaVar = "URL", required = true, usage = "address of the platform")
+    private String platformUrl = "";
+
+    @Override
+    public ExitCode run() {
+        TableInput input = TableInput.read(file);
+        if (input.printProblems()) {
+            return ExitCode.BAD_INPUT;
+        }
+        try (OperatorPlatform platform = new OperatorPlatform(platformUrl)) {
+            long revision = input.file().revision();
+            TableSnapshot base = OperatorPlatform.await(platform.reader().readAt(revision));
+            List<AuditRecord> since = OperatorPlatform.await(platform.reader().readAudit(revision));
+            List<RowChange> changes = TableDiff.changes(base, input.file().snapshot());
+            TableMerge merge = TableMerge.of(base, changes, since);
+            merge.remaining().forEach(change -> AuditTrail.lines(change).forEach(System.out::println));
+            merge.conflicts().forEach(conflict -> AuditTrail.lines(conflict).forEach(System.err::println));
+            System.out.println(merge.remaining().size() + " rows to change, " + since.size()
+                    + " changes since revision " + revision);
+            return merge.conflicts().isEmpty() ? ExitCode.DONE : ExitCode.CONFLICT;
+        }
+    }
+}
