--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -17,7 +17,6 @@
 import firwheel.routing.RoutingView;
 import firwheel.wire.LinkEndpoint;
 import firwheel.wire.LinkIdentity;
-import firwheel.wire.SharedKey;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
@@ -110,7 +109,7 @@
     private CompletableFuture<?> listen() {
         LinkIdentity identity = new LinkIdentity(
                 settings.ip() + ":" + settings.port(), settings.availabilityZone(), "entry", incarnation);
-        LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
+        LinkEndpoint endpoint = new LinkEndpoint(vertx, settings.linkSecurity(), identity);
         AgentLinks links = new AgentLinks(endpoint, time, report -> {}, metrics::countForeignFrame);
         vertx.setPeriodic(LINK_CHECK_MILLIS, timer -> links.closeSilent());
         runContext = new RunContext(
