--- /dev/null
+++ b/experts/src/main/java/firwheel/experts/plan/Evacuation.java
@@ -0,0 +1,93 @@
+package firwheel.experts.plan;
+
+import firwheel.experts.ExpertMap;
+import firwheel.experts.plan.ExpertMove.Kind;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/**
+ * Gives every expert of a layer at least one copy on a serving rank and empties the others.
+ *
+ * @param slots slots after the moves
+ * @param moves experts to load, whatever their price
+ * @param unplaced experts for which no slot could be freed
+ */
+@SuppressWarnings("ArrayRecordComponent") // confined to the planner
+record Evacuation(int[][] slots, List<ExpertMove> moves, int unplaced) {
+
+    static Evacuation of(PlanningInput input, int layer, int[][] present) {
+        double[] load = input.load().layer(layer);
+        int[][] slots = Slots.copy(present);
+        for (int rank = 0; rank < slots.length; rank++) {
+            if (!input.ranks().get(rank).serves()) {
+                Arrays.fill(slots[rank], ExpertMap.EMPTY);
+            }
+        }
+        List<ExpertMove> moves = new ArrayList<>();
+        int unplaced = 0;
+        for (int expert : missing(slots, load)) {
+            int source = source(input.ranks(), present, expert);
+            LayerPlacement placement = placement(input, slots, load);
+            unplaced += place(placement, layer, expert, source, moves) ? 0 : 1;
+        }
+        return new Evacuation(slots, moves, unplaced);
+    }
+
+    private static LayerPlacement placement(PlanningInput input, int[][] slots, double[] load) {
+        return new LayerPlacement(slots, load, input.ranks(), input.costs().secondsPerToken());
+    }
+
+    private static List<Integer> missing(int[][] slots, double[] load) {
+        boolean[] held = new boolean[load.length];
+        for (int[] rank : slots) {
+            for (int expert : rank) {
+                if (expert != ExpertMap.EMPTY) {
+                    held[expert] = true;
+                }
+            }
+        }
+        return IntStream.range(0, load.length)
+                .filter(expert -> !held[expert])
+                .boxed()
+                .sorted(Comparator.comparingDouble(expert -> -load[expert]))
+                .toList();
+    }
+
+    private static int source(List<RankCondition> ranks, int[][] present, int expert) {
+        for (int rank = 0; rank < present.length; rank++) {
+            boolean readable = ranks.get(rank).state() != RankCondition.State.DEAD;
+            if (readable && Arrays.stream(present[rank]).anyMatch(held -> held == expert)) {
+                return rank;
+            }
+        }
+        return ExpertMove.WEIGHT_STORE;
+    }
+
+    private static boolean place(LayerPlacement placement, int layer, int expert, int source, List<ExpertMove> moves) {
+        int bestRank = -1;
+        int bestSlot = -1;
+        double best = Double.MAX_VALUE;
+        for (int rank = 0; rank < placement.ranks(); rank++) {
+            for (int slot = 0; placement.serves(rank) && slot < placement.slotCount(rank); slot++) {
+                int other = placement.expert(rank, slot);
+                boolean spare = other == ExpertMap.EMPTY || placement.copies(other) > 1;
+                double load = placement.seconds(rank) + placement.share(other);
+                if (spare && load < best) {
+                    best = load;
+                    bestRank = rank;
+                    bestSlot = slot;
+                }
+            }
+        }
+        if (bestRank < 0) {
+            return false;
+        }
+        int replaced = placement.expert(bestRank, bestSlot);
+        moves.add(new ExpertMove(Kind.EVACUATE, layer, expert, source, bestRank, replaced));
+        placement.set(bestRank, bestSlot, expert);
+        return true;
+    }
+}
--- /dev/null
+++ b/experts/src/main/java/firwheel/experts/plan/IncrementalPlanner.java
@@ -0,0 +1,108 @@
+package firwheel.experts.plan;
+
+import firwheel.experts.ExpertMap;
+import firwheel.experts.plan.MapPlan.LayerRecord;
+import firwheel.experts.plan.MapPlan.Verdict;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Changes a map by the moves that are worth their price: first the experts of dead and leaving ranks, then, layer by
+ * layer, the beginning of a sequence of relieving moves with the best gain minus cost, until the round's bound.
+ */
+public final class IncrementalPlanner implements MapPlanner {
+    @Override
+    public MapPlan plan(PlanningInput input) {
+        List<LayerChange> changes = new ArrayList<>();
+        for (int layer = 0; layer < input.map().layers(); layer++) {
+            changes.add(change(input, layer));
+        }
+        changes.sort(Comparator.comparingDouble(LayerChange::worth).reversed());
+        return assemble(input, changes);
+    }
+
+    private static LayerChange change(PlanningInput input, int layer) {
+        int[][] slots = Slots.fitted(input.map().layer(layer), input.ranks());
+        Evacuation evacuation = Evacuation.of(input, layer, slots);
+        LayerPlacement placement = new LayerPlacement(
+                evacuation.slots(),
+                input.load().layer(layer),
+                input.ranks(),
+                input.costs().secondsPerToken());
+        return search(input, layer, evacuation, placement);
+    }
+
+    private static LayerChange search(PlanningInput input, int layer, Evacuation evacuation, LayerPlacement placement) {
+        double before = placement.skewSeconds();
+        LayerChange best = new LayerChange(layer, evacuation, List.of(), evacuation.slots(), before, before, 0, 0);
+        LayerSearch search = new LayerSearch(placement, layer);
+        List<ExpertMove> moves = new ArrayList<>();
+        while (moves.size() < input.limits().maxMovesPerLayer()) {
+            List<ExpertMove> next = search.next();
+            if (next.isEmpty()) {
+                break;
+            }
+            moves.addAll(next);
+            double after = placement.skewSeconds();
+            double gain = input.costs().skewCost(before - after, input.prices());
+            double cost = input.costs().moveCost(moves.size(), false, input.prices());
+            LayerChange tried = new LayerChange(
+                    layer, evacuation, List.copyOf(moves), Slots.copy(placement.slots()), before, after, gain, cost);
+            boolean worthIt = gain > 0 && gain >= input.limits().minGainRatio() * cost;
+            best = worthIt && tried.net() > best.net() ? tried : best;
+        }
+        return best;
+    }
+
+    private static MapPlan assemble(PlanningInput input, List<LayerChange> changes) {
+        int[][][] slots = new int[input.map().layers()][][];
+        List<ExpertMove> required = new ArrayList<>();
+        List<ExpertMove> chosen = new ArrayList<>();
+        List<LayerRecord> records = new ArrayList<>();
+        for (LayerChange change : changes) {
+            boolean fits = chosen.size() + change.moves.size() <= input.limits().maxMoves();
+            slots[change.layer] = fits ? change.slots : change.evacuation.slots();
+            required.addAll(change.evacuation.moves());
+            chosen.addAll(fits ? change.moves : List.of());
+            records.add(change.record(fits));
+        }
+        required.addAll(chosen);
+        ExpertMap map = ExpertMap.of(input.map().experts(), slots);
+        return new MapPlan(map, required, records);
+    }
+
+    /** Best change found for a layer. */
+    @SuppressWarnings("ArrayRecordComponent") // confined to one planning round
+    private record LayerChange(
+            int layer,
+            Evacuation evacuation,
+            List<ExpertMove> moves,
+            int[][] slots,
+            double skewSecondsBefore,
+            double skewSecondsAfter,
+            double gain,
+            double cost) {
+        double net() {
+            return gain - cost;
+        }
+
+        double worth() {
+            return moves.isEmpty() ? 0 : net() / moves.size();
+        }
+
+        LayerRecord record(boolean fits) {
+            return new LayerRecord(layer, verdict(fits), moves.size(), skewSecondsBefore, skewSecondsAfter, gain, cost);
+        }
+
+        private Verdict verdict(boolean fits) {
+            if (evacuation.unplaced() > 0) {
+                return Verdict.NO_SLOT;
+            }
+            if (moves.isEmpty()) {
+                return evacuation.moves().isEmpty() ? Verdict.NOT_WORTH_IT : Verdict.REQUIRED;
+            }
+            return fits ? Verdict.WORTH_IT : Verdict.OVER_LIMIT;
+        }
+    }
+}
--- a/experts/src/main/java/firwheel/experts/protocol/SwitchCoordinator.java
+++ b/experts/src/main/java/firwheel/experts/protocol/SwitchCoordinator.java
@@ -91,8 +91,8 @@
         if (!state.complete()) {
             return same(state);
         }
-        Collection<Status> statuses =
-                state.replies().values().stream().map(Status.class::cast).toList();
+        List<Status> statuses = new ArrayList<>();
+        state.members().forEach(member -> statuses.add((Status) state.replies().get(member)));
         Map<String, Long> incarnations = new HashMap<>();
         statuses.forEach(status -> incarnations.put(status.member(), status.incarnation()));
         return resolve(state.withIncarnations(incarnations), statuses);
