--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/experts/ExpertsBench.java
@@ -0,0 +1,100 @@
+package firwheel.bench.experts;
+
+import firwheel.bench.experts.PlannerTrial.PlannerCase;
+import firwheel.bench.experts.PlannerTrial.Scenario;
+import firwheel.experts.plan.IncrementalPlanner;
+import firwheel.experts.plan.MapPlanner;
+import firwheel.experts.plan.PlanPrices;
+import firwheel.experts.plan.RepackPlanner;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Compares the planners and prints a table for each scenario. Arguments: layers, rounds, and optionally a directory for
+ * plots.
+ */
+public final class ExpertsBench {
+    static final PlanPrices SKEW_WEIGHED = new PlanPrices(4, 0.05);
+    static final PlanPrices MOVES_WEIGHED = new PlanPrices(1, 0.5);
+    static final String OURS = "incremental";
+    static final String FULL = "full repack each round";
+    private static final long SEED = 20_26;
+
+    private ExpertsBench() {}
+
+    /** Prints the tables; see the class comment. */
+    public static void main(String[] args) throws java.io.IOException {
+        int layers = args.length > 0 ? Integer.parseInt(args[0]) : 8;
+        int rounds = args.length > 1 ? Integer.parseInt(args[1]) : 240;
+        for (Scenario scenario : scenarios(layers, rounds)) {
+            List<TrialResult> results = run(scenario);
+            System.out.println(table(scenario, results));
+            if (args.length > 2) {
+                String file = "experts-" + scenario.name() + "-" + scenario.pricesName() + ".svg";
+                Files.writeString(Path.of(args[2], file.replace(' ', '-')), SkewPlot.svg(results));
+            }
+        }
+    }
+
+    static List<Scenario> scenarios(int layers, int rounds) {
+        return List.of(
+                new Scenario("seasonal", PopularityDrift::seasonal, "skew weighed", SKEW_WEIGHED, layers, rounds, SEED),
+                new Scenario("job runs", PopularityDrift::jobRuns, "skew weighed", SKEW_WEIGHED, layers, rounds, SEED),
+                new Scenario(
+                        "seasonal", PopularityDrift::seasonal, "moves weighed", MOVES_WEIGHED, layers, rounds, SEED),
+                new Scenario(
+                        "job runs", PopularityDrift::jobRuns, "moves weighed", MOVES_WEIGHED, layers, rounds, SEED));
+    }
+
+    static List<TrialResult> run(Scenario scenario) {
+        List<TrialResult> results = new ArrayList<>();
+        for (PlannerCase planner : planners()) {
+            results.add(PlannerTrial.run(planner, scenario));
+        }
+        return results;
+    }
+
+    private static List<PlannerCase> planners() {
+        return List.of(
+                new PlannerCase("never", MapPlanner.never()),
+                new PlannerCase(FULL, RepackPlanner.everyRound()),
+                new PlannerCase("full repack above 10%", RepackPlanner.above(0.10)),
+                new PlannerCase("full repack above 25%", RepackPlanner.above(0.25)),
+                new PlannerCase("full repack above 50%", RepackPlanner.above(0.50)),
+                new PlannerCase(OURS, new IncrementalPlanner()));
+    }
+
+    private static String table(Scenario scenario, List<TrialResult> results) {
+        StringBuilder table = new StringBuilder();
+        table.append(String.format(
+                Locale.ROOT,
+                "### %s, %s (%d layers, %d rounds)%n%n",
+                scenario.name(),
+                scenario.pricesName(),
+                scenario.layers(),
+                scenario.rounds()));
+        table.append("| planner | skew mean ms | p50 ms | p99 ms | moved GiB | transfer s | disturbed s ")
+                .append("| skew cost | move cost | total cost | plan ms |\n")
+                .append("|---|---|---|---|---|---|---|---|---|---|---|\n");
+        for (TrialResult result : results) {
+            table.append(String.format(
+                    Locale.ROOT,
+                    "| %s | %.3f | %.3f | %.3f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f |%n",
+                    result.planner(),
+                    result.skewMeanMillis(),
+                    result.skewP50Millis(),
+                    result.skewP99Millis(),
+                    result.movedGib(),
+                    result.transferSeconds(),
+                    result.disturbedSeconds(),
+                    result.skewCost(),
+                    result.moveCost(),
+                    result.totalCost(),
+                    result.planMillis()));
+        }
+        return table.toString();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/experts/PlannerTrial.java
@@ -0,0 +1,121 @@
+package firwheel.bench.experts;
+
+import firwheel.experts.ExpertMap;
+import firwheel.experts.plan.CostModel;
+import firwheel.experts.plan.ExpertMove;
+import firwheel.experts.plan.LoadEstimate;
+import firwheel.experts.plan.MapPlan;
+import firwheel.experts.plan.MapPlanner;
+import firwheel.experts.plan.PlanLimits;
+import firwheel.experts.plan.PlanPrices;
+import firwheel.experts.plan.PlanningInput;
+import firwheel.experts.plan.RankCondition;
+import firwheel.experts.plan.StepTimes;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/** Runs one planner against one drift and adds up skew and the cost of moving. */
+final class PlannerTrial {
+    static final int EXPERTS = 256;
+    static final int RANKS = 32;
+    static final int SLOTS_PER_RANK = 9;
+    static final int STEPS_PER_ROUND = 1_200;
+    static final int WARM_UP_ROUNDS = 10;
+    private static final double TOKENS_PER_STEP = 16_384;
+    private static final double REPORT_WEIGHT = 0.5;
+    private static final double LOST_REPORTS = 0.1;
+    static final CostModel COSTS = new CostModel(4e-7, 10.0 * STEPS_PER_ROUND, 44L << 20, 10e9, 1e9, 0.1, 1.0, 0.05);
+    static final PlanLimits LIMITS = new PlanLimits(100_000, 64, 1.5);
+
+    private final PlannerCase planner;
+    private final Scenario scenario;
+    private final double[] skewSeconds;
+    private long loads;
+    private double transferSeconds;
+    private double disturbedSeconds;
+    private double moveCost;
+    private long planNanos;
+
+    private PlannerTrial(PlannerCase planner, Scenario scenario) {
+        this.planner = planner;
+        this.scenario = scenario;
+        this.skewSeconds = new double[scenario.rounds()];
+    }
+
+    /** Returns the figures of one run; the same each time but for the planner's time. */
+    static TrialResult run(PlannerCase planner, Scenario scenario) {
+        return new PlannerTrial(planner, scenario).run();
+    }
+
+    private TrialResult run() {
+        Random gaps = new Random(scenario.seed() + 1);
+        PopularityDrift drift = scenario.drift().create(scenario.seed(), scenario.layers(), EXPERTS, TOKENS_PER_STEP);
+        List<RankCondition> ranks = Collections.nCopies(RANKS, RankCondition.serving(SLOTS_PER_RANK));
+        ExpertMap map = ExpertMap.inOrder(scenario.layers(), EXPERTS, RANKS, SLOTS_PER_RANK);
+        double[][] tokens = drift.tokensPerStep(0);
+        LoadEstimate load = LoadEstimate.of(tokens);
+        for (int round = 0; round < scenario.rounds(); round++) {
+            PlanningInput input = new PlanningInput(map, load, ranks, scenario.prices(), COSTS, LIMITS);
+            long start = System.nanoTime();
+            MapPlan plan = planner.planner().plan(input);
+            planNanos += System.nanoTime() - start;
+            account(plan);
+            map = plan.map();
+            tokens = drift.tokensPerStep(round + 1);
+            skewSeconds[round] = StepTimes.skewSeconds(map, tokens, ranks, COSTS);
+            load = gaps.nextDouble() < LOST_REPORTS ? load : load.updated(tokens, REPORT_WEIGHT);
+        }
+        return result();
+    }
+
+    private void account(MapPlan plan) {
+        Map<Integer, Integer> perRank = new HashMap<>();
+        for (ExpertMove move : plan.moves()) {
+            perRank.merge(move.rank(), 1, Integer::sum);
+        }
+        int moves = plan.moves().size();
+        int longest = perRank.values().stream().mapToInt(count -> count).max().orElse(0);
+        loads += moves;
+        transferSeconds += COSTS.transferSeconds(longest, false);
+        disturbedSeconds += COSTS.disturbedSeconds(moves, false);
+        moveCost += COSTS.moveCost(moves, false, scenario.prices());
+    }
+
+    private TrialResult result() {
+        double[] sorted = skewSeconds.clone();
+        Arrays.sort(sorted);
+        double mean = Arrays.stream(sorted).average().orElse(0);
+        PlanPrices prices = scenario.prices();
+        double skewCost = prices.skewPrice() * mean * STEPS_PER_ROUND * scenario.rounds();
+        double gib = loads * (COSTS.expertBytes() / (double) (1L << 30));
+        return new TrialResult(
+                planner.name(),
+                1e3 * mean,
+                1e3 * sorted[sorted.length / 2],
+                1e3 * sorted[(int) (0.99 * (sorted.length - 1))],
+                gib,
+                transferSeconds,
+                disturbedSeconds,
+                skewCost,
+                moveCost,
+                planNanos / 1e6 / scenario.rounds(),
+                skewSeconds);
+    }
+
+    /** A planner and its name in tables. */
+    record PlannerCase(String name, MapPlanner planner) {}
+
+    /** Creates a drift from seed, layers, experts and tokens a step. */
+    @FunctionalInterface
+    interface DriftFactory {
+        PopularityDrift create(long seed, int layers, int experts, double tokensPerStep);
+    }
+
+    /** What the planners face. */
+    record Scenario(
+            String name, DriftFactory drift, String pricesName, PlanPrices prices, int layers, int rounds, long seed) {}
+}
--- a/experts/src/main/java/firwheel/experts/plan/Evacuation.java
+++ b/experts/src/main/java/firwheel/experts/plan/Evacuation.java
@@ -74,7 +74,7 @@
             for (int slot = 0; placement.serves(rank) && slot < placement.slotCount(rank); slot++) {
                 int other = placement.expert(rank, slot);
                 boolean spare = other == ExpertMap.EMPTY || placement.copies(other) > 1;
-                double load = placement.seconds(rank) + placement.share(other);
+                double load = placement.riskySeconds(rank) + placement.riskyShare(other);
                 if (spare && load < best) {
                     best = load;
                     bestRank = rank;
--- a/experts/src/main/java/firwheel/experts/plan/IncrementalPlanner.java
+++ b/experts/src/main/java/firwheel/experts/plan/IncrementalPlanner.java
@@ -29,12 +29,13 @@
                 evacuation.slots(),
                 input.load().layer(layer),
                 input.ranks(),
-                input.costs().secondsPerToken());
+                input.costs().secondsPerToken(),
+                input.load().relativeError(layer));
         return search(input, layer, evacuation, placement);
     }
 
     private static LayerChange search(PlanningInput input, int layer, Evacuation evacuation, LayerPlacement placement) {
-        double before = placement.skewSeconds();
+        double before = placement.expectedSkewSeconds();
         LayerChange best = new LayerChange(layer, evacuation, List.of(), evacuation.slots(), before, before, 0, 0);
         LayerSearch search = new LayerSearch(placement, layer);
         List<ExpertMove> moves = new ArrayList<>();
@@ -44,7 +45,7 @@
                 break;
             }
             moves.addAll(next);
-            double after = placement.skewSeconds();
+            double after = placement.expectedSkewSeconds();
             double gain = input.costs().skewCost(before - after, input.prices());
             double cost = input.costs().moveCost(moves.size(), false, input.prices());
             LayerChange tried = new LayerChange(
--- a/experts/src/main/java/firwheel/experts/plan/LayerPlacement.java
+++ b/experts/src/main/java/firwheel/experts/plan/LayerPlacement.java
@@ -9,14 +9,37 @@
  * evenly. Confined to one thread.
  */
 final class LayerPlacement {
+    /** Slope of the expected maximum over the ranks in the squared shares of a rank, at usual spreads. */
+    private static final double RISK_FACTOR = Double.parseDouble(System.getProperty("rf", "4"));
+
+    private static final double GUMBEL_SCALE = Math.sqrt(6) / Math.PI;
+
     private final int[][] slots;
     private final int[] copies;
     private final double[] seconds;
+    private final double[] risk;
+    private final double relativeError;
+    private double riskPerSquaredSecond;
     private final double[] expertSeconds;
     private final double[] slowdown;
     private final boolean[] serves;
 
     LayerPlacement(int[][] slots, double[] tokensPerStep, List<RankCondition> ranks, double secondsPerToken) {
+        this(slots, tokensPerStep, ranks, secondsPerToken, 0);
+    }
+
+    /**
+     * Creates a placement.
+     *
+     * @param relativeError standard deviation of an expert's load divided by the load
+     */
+    LayerPlacement(
+            int[][] slots,
+            double[] tokensPerStep,
+            List<RankCondition> ranks,
+            double secondsPerToken,
+            double relativeError) {
+        this.relativeError = relativeError;
         this.slots = slots;
         this.copies = new int[tokensPerStep.length];
         this.expertSeconds = Arrays.stream(tokensPerStep)
@@ -25,10 +48,14 @@
         this.slowdown = ranks.stream().mapToDouble(RankCondition::slowdown).toArray();
         this.serves = new boolean[slots.length];
         this.seconds = new double[slots.length];
+        this.risk = new double[slots.length];
         for (int rank = 0; rank < slots.length; rank++) {
             serves[rank] = ranks.get(rank).serves();
         }
         recount();
+        double mean = meanSeconds();
+        this.riskPerSquaredSecond = mean == 0 ? 0 : RISK_FACTOR * relativeError / mean;
+        recount();
     }
 
     int ranks() {
@@ -51,20 +78,30 @@
         return copies[expert];
     }
 
-    double seconds(int rank) {
-        return seconds[rank];
+    /** Returns the rank's predicted time with an allowance for the error of its experts' loads, in seconds a step. */
+    double riskySeconds(int rank) {
+        return seconds[rank] + risk[rank];
     }
 
     int[][] slots() {
         return slots;
     }
 
-    /** Returns the time of one copy of {@code expert} on a rank of usual speed, if it has {@code count} copies. */
-    double share(int expert, int count) {
-        return expert == ExpertMap.EMPTY ? 0 : expertSeconds[expert] / count;
+    /** Returns the time of one copy of {@code expert} with its allowance, if it has {@code count} copies. */
+    double riskyShare(int expert, int count) {
+        if (expert == ExpertMap.EMPTY) {
+            return 0;
+        }
+        double share = expertSeconds[expert] / count;
+        return share + riskPerSquaredSecond * share * share;
+    }
+
+    /** Returns the time of one copy of {@code expert} with its allowance. */
+    double riskyShare(int expert) {
+        return expert == ExpertMap.EMPTY ? 0 : riskyShare(expert, copies[expert]);
     }
 
-    double share(int expert) {
+    private double share(int expert) {
         return expert == ExpertMap.EMPTY ? 0 : expertSeconds[expert] / copies[expert];
     }
 
@@ -84,7 +121,7 @@
     int slowest() {
         int slowest = -1;
         for (int rank = 0; rank < seconds.length; rank++) {
-            if (serves[rank] && (slowest < 0 || seconds[rank] > seconds[slowest])) {
+            if (serves[rank] && (slowest < 0 || riskySeconds(rank) > riskySeconds(slowest))) {
                 slowest = rank;
             }
         }
@@ -93,17 +130,59 @@
 
     /** Returns by how much the slowest serving rank trails the mean of them, in seconds a step. */
     double skewSeconds() {
+        return maxSeconds() - meanSeconds();
+    }
+
+    /**
+     * Returns the expected {@link #skewSeconds} where each expert's load is off by an independent error. The expected
+     * maximum is that of Gumbel errors of the same deviation, which has a closed form.
+     */
+    double expectedSkewSeconds() {
+        double scale = GUMBEL_SCALE * relativeError * meanDeviationPerError();
+        if (scale <= 0) {
+            return skewSeconds();
+        }
+        double mean = meanSeconds();
+        double max = maxSeconds();
         double sum = 0;
-        double max = 0;
-        int count = 0;
         for (int rank = 0; rank < seconds.length; rank++) {
+            sum += serves[rank] ? Math.exp((seconds[rank] - max) / scale) : 0;
+        }
+        return max - mean + scale * Math.log(sum);
+    }
+
+    private double meanDeviationPerError() {
+        double sum = 0;
+        int count = 0;
+        for (int rank = 0; rank < slots.length; rank++) {
             if (serves[rank]) {
-                sum += seconds[rank];
-                max = Math.max(max, seconds[rank]);
+                double squares = 0;
+                for (int expert : slots[rank]) {
+                    squares += share(expert) * share(expert);
+                }
+                sum += slowdown[rank] * Math.sqrt(squares);
                 count++;
             }
         }
-        return count == 0 ? 0 : max - sum / count;
+        return count == 0 ? 0 : sum / count;
+    }
+
+    private double maxSeconds() {
+        double max = 0;
+        for (int rank = 0; rank < seconds.length; rank++) {
+            max = serves[rank] ? Math.max(max, seconds[rank]) : max;
+        }
+        return max;
+    }
+
+    private double meanSeconds() {
+        double sum = 0;
+        int count = 0;
+        for (int rank = 0; rank < seconds.length; rank++) {
+            sum += serves[rank] ? seconds[rank] : 0;
+            count += serves[rank] ? 1 : 0;
+        }
+        return count == 0 ? 0 : sum / count;
     }
 
     void set(int rank, int slot, int expert) {
@@ -122,10 +201,14 @@
         }
         for (int rank = 0; rank < slots.length; rank++) {
             double sum = 0;
+            double squares = 0;
             for (int expert : slots[rank]) {
-                sum += serves[rank] ? share(expert) : 0;
+                double share = serves[rank] ? share(expert) : 0;
+                sum += share;
+                squares += share * share;
             }
             seconds[rank] = sum * slowdown[rank];
+            risk[rank] = riskPerSquaredSecond * squares * slowdown[rank];
         }
     }
 }
--- a/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
+++ b/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
@@ -60,17 +60,19 @@
         int expert = placement.expert(hot, hotSlot);
         int other = placement.expert(rank, slot);
         int count = placement.copies(expert) + 1;
-        double gained = placement.share(expert, count);
-        double hotAfter = placement.seconds(hot) - placement.slowdown(hot) * (placement.share(expert) - gained);
-        double rankAfter = placement.seconds(rank) + placement.slowdown(rank) * (gained - placement.share(other));
+        double gained = placement.riskyShare(expert, count);
+        double hotAfter =
+                placement.riskySeconds(hot) - placement.slowdown(hot) * (placement.riskyShare(expert) - gained);
+        double rankAfter =
+                placement.riskySeconds(rank) + placement.slowdown(rank) * (gained - placement.riskyShare(other));
         double worst = Math.max(hotAfter, rankAfter);
-        if (worst >= placement.seconds(hot) || other == ExpertMap.EMPTY) {
+        if (worst >= placement.riskySeconds(hot) || other == ExpertMap.EMPTY) {
             return candidate(hot, hotSlot, rank, slot, false, worst);
         }
-        double extra = placement.share(other, placement.copies(other) - 1) - placement.share(other);
+        double extra = placement.riskyShare(other, placement.copies(other) - 1) - placement.riskyShare(other);
         for (int holder = 0; holder < placement.ranks(); holder++) {
             if (holder != rank && placement.serves(holder) && placement.holds(holder, other)) {
-                double before = holder == hot ? hotAfter : placement.seconds(holder);
+                double before = holder == hot ? hotAfter : placement.riskySeconds(holder);
                 worst = Math.max(worst, before + placement.slowdown(holder) * extra);
             }
         }
@@ -78,17 +80,17 @@
     }
 
     private @Nullable Candidate weighExchange(int hot, int hotSlot, int rank, int slot) {
-        double given = placement.share(placement.expert(hot, hotSlot));
-        double taken = placement.share(placement.expert(rank, slot));
-        double hotAfter = placement.seconds(hot) - placement.slowdown(hot) * (given - taken);
-        double rankAfter = placement.seconds(rank) + placement.slowdown(rank) * (given - taken);
+        double given = placement.riskyShare(placement.expert(hot, hotSlot));
+        double taken = placement.riskyShare(placement.expert(rank, slot));
+        double hotAfter = placement.riskySeconds(hot) - placement.slowdown(hot) * (given - taken);
+        double rankAfter = placement.riskySeconds(rank) + placement.slowdown(rank) * (given - taken);
         return candidate(hot, hotSlot, rank, slot, true, Math.max(hotAfter, rankAfter));
     }
 
     private @Nullable Candidate candidate(
             int hot, int hotSlot, int rank, int slot, boolean exchange, double worstSeconds) {
-        double relief = placement.seconds(hot) - worstSeconds;
-        if (relief <= LEAST_RELIEF * placement.seconds(hot)) {
+        double relief = placement.riskySeconds(hot) - worstSeconds;
+        if (relief <= LEAST_RELIEF * placement.riskySeconds(hot)) {
             return null;
         }
         return new Candidate(hot, hotSlot, rank, slot, exchange, relief / (exchange ? 2 : 1));
--- a/experts/src/main/java/firwheel/experts/plan/LoadEstimate.java
+++ b/experts/src/main/java/firwheel/experts/plan/LoadEstimate.java
@@ -2,26 +2,33 @@
 
 /** Decayed mean of the tokens that each expert of each layer gets in a step. A report that never came changes nothing. */
 public final class LoadEstimate {
+    private static final double ERROR_WEIGHT = 0.1;
+    private static final double MAX_ERROR_GROWTH = 1.25;
+
     private final double[][] tokensPerStep;
+    private final double[] relativeErrors;
 
-    private LoadEstimate(double[][] tokensPerStep) {
+    private LoadEstimate(double[][] tokensPerStep, double[] relativeErrors) {
         this.tokensPerStep = tokensPerStep;
+        this.relativeErrors = relativeErrors;
     }
 
     /** Returns an estimate equal to one report, indexed by layer and expert. */
     public static LoadEstimate of(double[][] tokensPerStep) {
-        return new LoadEstimate(copy(tokensPerStep));
+        return new LoadEstimate(copy(tokensPerStep), new double[tokensPerStep.length]);
     }
 
     /** Returns the estimate after a report whose weight is {@code weight}, from 0 to 1. */
     public LoadEstimate updated(double[][] reportedTokensPerStep, double weight) {
         double[][] next = copy(tokensPerStep);
+        double[] errors = new double[next.length];
         for (int layer = 0; layer < next.length; layer++) {
+            errors[layer] = nextError(layer, reportedTokensPerStep[layer]);
             for (int expert = 0; expert < next[layer].length; expert++) {
                 next[layer][expert] += weight * (reportedTokensPerStep[layer][expert] - next[layer][expert]);
             }
         }
-        return new LoadEstimate(next);
+        return new LoadEstimate(next, errors);
     }
 
     /** Returns a copy of the layer's tokens a step by expert. */
@@ -29,6 +36,25 @@
         return tokensPerStep[layer].clone();
     }
 
+    /** Returns by how much reports differ from the estimate: deviation of an expert's load divided by the load. */
+    public double relativeError(int layer) {
+        return relativeErrors[layer];
+    }
+
+    private double nextError(int layer, double[] reported) {
+        double squares = 0;
+        double total = 0;
+        for (int expert = 0; expert < reported.length; expert++) {
+            double difference = reported[expert] - tokensPerStep[layer][expert];
+            squares += difference * difference;
+            total += tokensPerStep[layer][expert] * tokensPerStep[layer][expert];
+        }
+        double seen = total == 0 ? 0 : Math.sqrt(squares / total);
+        double before = relativeErrors[layer];
+        double wanted = before + ERROR_WEIGHT * (seen - before);
+        return before == 0 ? seen : Math.min(wanted, MAX_ERROR_GROWTH * before);
+    }
+
     private static double[][] copy(double[][] values) {
         double[][] copy = new double[values.length][];
         for (int layer = 0; layer < values.length; layer++) {
