--- a/experts/src/main/java/firwheel/experts/plan/IncrementalPlanner.java
+++ b/experts/src/main/java/firwheel/experts/plan/IncrementalPlanner.java
@@ -68,6 +68,9 @@
             chosen.addAll(fits ? change.moves : List.of());
             records.add(change.record(fits));
         }
+        if (records.stream().anyMatch(change -> change.verdict() == Verdict.NO_SLOT)) {
+            return new MapPlan(input.map(), List.of(), records);
+        }
         required.addAll(chosen);
         ExpertMap map = ExpertMap.of(input.map().experts(), slots);
         return new MapPlan(map, required, records);
--- a/experts/src/main/java/firwheel/experts/plan/LayerPlacement.java
+++ b/experts/src/main/java/firwheel/experts/plan/LayerPlacement.java
@@ -2,7 +2,9 @@
 
 import firwheel.experts.ExpertMap;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.IntStream;
 
 /**
  * Working copy of one layer's placement with the predicted time of each rank. Copies of an expert share its load
@@ -10,7 +12,7 @@
  */
 final class LayerPlacement {
     /** Slope of the expected maximum over the ranks in the squared shares of a rank, at usual spreads. */
-    private static final double RISK_FACTOR = Double.parseDouble(System.getProperty("rf", "4"));
+    private static final double RISK_FACTOR = 4;
 
     private static final double GUMBEL_SCALE = Math.sqrt(6) / Math.PI;
 
@@ -118,14 +120,15 @@
         return false;
     }
 
-    int slowest() {
-        int slowest = -1;
-        for (int rank = 0; rank < seconds.length; rank++) {
-            if (serves[rank] && (slowest < 0 || riskySeconds(rank) > riskySeconds(slowest))) {
-                slowest = rank;
-            }
-        }
-        return slowest;
+    /** Returns the slowest serving ranks, at most {@code limit}, the slowest first. */
+    int[] slowest(int limit) {
+        return IntStream.range(0, seconds.length)
+                .filter(rank -> serves[rank])
+                .boxed()
+                .sorted(Comparator.comparingDouble(rank -> -riskySeconds(rank)))
+                .limit(limit)
+                .mapToInt(rank -> rank)
+                .toArray();
     }
 
     /** Returns by how much the slowest serving rank trails the mean of them, in seconds a step. */
--- a/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
+++ b/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
@@ -7,12 +7,13 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Finds moves that relieve the slowest rank of a layer: a further copy of one of its experts elsewhere, in place of a
+ * Finds moves that relieve one of the slowest ranks of a layer: a further copy of one of its experts elsewhere, in place of a
  * spare copy, or an exchange with another rank. A single move may gain nothing while two ranks are equally slow, so
  * moves are tried in sequence and the caller takes the best beginning.
  */
 final class LayerSearch {
     private static final double LEAST_RELIEF = 1e-3;
+    private static final int SLOW_RANKS = 4;
 
     private final LayerPlacement placement;
     private final int layer;
@@ -24,14 +25,23 @@
 
     /** Applies the next move to the placement and returns it, an exchange as two; empty if none relieves it. */
     List<ExpertMove> next() {
-        int hot = placement.slowest();
+        for (int hot : placement.slowest(SLOW_RANKS)) {
+            Candidate best = bestFor(hot);
+            if (best != null) {
+                return apply(best);
+            }
+        }
+        return List.of();
+    }
+
+    private @Nullable Candidate bestFor(int hot) {
         Candidate best = null;
-        for (int slot = 0; hot >= 0 && slot < placement.slotCount(hot); slot++) {
+        for (int slot = 0; slot < placement.slotCount(hot); slot++) {
             if (placement.expert(hot, slot) != ExpertMap.EMPTY) {
                 best = better(best, bestFor(hot, slot));
             }
         }
-        return best == null ? List.of() : apply(best);
+        return best;
     }
 
     private @Nullable Candidate bestFor(int hot, int hotSlot) {
