Hostile peers, bad input from callers, signals and exit codes, each with its tests

Cause: a link could hang on half a frame; a caller could hold a connection by a slow head; the entry accepted trailing JSON, doubled keys and max_tokens of any type; a second signal was ignored; a busy port ended in a stack trace. Ruled out: the server's idle timeout, which a byte now and then resets and which cut silent but running requests. Conclusion: each closes its own connection alone, and the entry or the acceptor goes on serving.

--- a/cli/src/main/java/firwheel/cli/Main.java
+++ b/cli/src/main/java/firwheel/cli/Main.java
@@ -1,8 +1,12 @@
 package firwheel.cli;
 
 import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import java.net.BindException;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.concurrent.CompletionException;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.ParserProperties;
@@ -48,12 +52,20 @@
         } catch (CmdLineException e) {
             System.err.println("FW-9002 " + e.getMessage() + "; see firwheel " + entry.name() + " --help");
             return ExitCode.BAD_INPUT;
-        } catch (FirwheelException e) {
-            System.err.println(e.getMessage() + " " + e.code().remedy());
-            return ExitCode.of(e.code());
+        } catch (FirwheelException | CompletionException e) {
+            FirwheelException failure = failure(e);
+            System.err.println(failure.advice());
+            return ExitCode.of(failure.code());
         }
     }
 
+    private static FirwheelException failure(RuntimeException error) {
+        if (error.getCause() instanceof BindException cause) {
+            return new FirwheelException(ResultCode.CANNOT_LISTEN, cause.getMessage() + ".", Duration.ZERO, cause);
+        }
+        return FirwheelException.of(error);
+    }
+
     private static void printOverview() {
         System.out.println("firwheel COMMAND [options]; firwheel COMMAND --help lists the options");
         Commands.ALL.forEach(entry -> System.out.printf("  %-14s %s%n", entry.name(), entry.summary()));
--- a/cli/src/main/java/firwheel/cli/Shutdown.java
+++ b/cli/src/main/java/firwheel/cli/Shutdown.java
@@ -3,41 +3,62 @@
 import firwheel.model.FirwheelException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 
-/** Waits until the process is told to stop (SIGTERM or SIGINT), drains, and exits with 0 when nothing was cut. */
+/**
+ * Runs a process until SIGTERM or SIGINT, then drains it. A second signal cuts what still runs. The exit code is 0 only
+ * after a whole drain.
+ */
 final class Shutdown {
     private static final Duration GRACE_BEYOND_DRAIN_LIMIT = Duration.ofSeconds(5);
 
-    private Shutdown() {}
+    private final Supplier<CompletableFuture<Void>> drain;
+    private final Duration timeout;
+    private final AtomicBoolean draining = new AtomicBoolean();
+    private final CompletableFuture<ExitCode> exit = new CompletableFuture<>();
 
-    /** Blocks for good; {@code drain} runs once when a signal arrives. */
+    Shutdown(Supplier<CompletableFuture<Void>> drain, Duration timeout) {
+        this.drain = drain;
+        this.timeout = timeout;
+    }
+
+    /** Blocks until a signal has arrived and {@code drain} has ended or was cut. */
     static ExitCode awaitSignal(Supplier<CompletableFuture<Void>> drain, Duration drainLimit) {
-        Thread hook = new Thread(
-                () -> Runtime.getRuntime().halt(drainNow(drain, drainLimit).number()), "shutdown");
-        Runtime.getRuntime().addShutdownHook(hook);
-        try {
-            new CountDownLatch(1).await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+        Shutdown shutdown = new Shutdown(drain, drainLimit.plus(GRACE_BEYOND_DRAIN_LIMIT));
+        Signals.handle("TERM", shutdown::onSignal);
+        Signals.handle("INT", shutdown::onSignal);
+        return shutdown.exit().join();
+    }
+
+    /** Returns the exit code, once known. */
+    CompletableFuture<ExitCode> exit() {
+        return exit;
+    }
+
+    /** Drains at the first call and gives up at the second. */
+    void onSignal() {
+        if (draining.compareAndSet(false, true)) {
+            var unused = drain.get()
+                    .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                    .whenComplete((done, error) -> exit.complete(exitCode(error)));
+        } else {
+            System.err.println("second signal: running requests are cut");
+            exit.complete(ExitCode.FAILED);
         }
-        return ExitCode.DONE;
     }
 
-    private static ExitCode drainNow(Supplier<CompletableFuture<Void>> drain, Duration drainLimit) {
-        try {
-            drain.get().get(drainLimit.plus(GRACE_BEYOND_DRAIN_LIMIT).toMillis(), TimeUnit.MILLISECONDS);
+    private static ExitCode exitCode(@Nullable Throwable error) {
+        if (error == null) {
             return ExitCode.DONE;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return ExitCode.FAILED;
-        } catch (ExecutionException | TimeoutException e) {
-            System.err.println(FirwheelException.of(e).getMessage());
-            return ExitCode.FAILED;
         }
+        System.err.println(
+                error instanceof TimeoutException
+                        ? "drain did not end in time; running requests are cut"
+                        : FirwheelException.of(error).getMessage());
+        return ExitCode.FAILED;
     }
 }
--- /dev/null
+++ b/cli/src/test/java/firwheel/cli/ShutdownTest.java
@@ -0,0 +1,51 @@
+package firwheel.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class ShutdownTest {
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private final Shutdown shutdown = new Shutdown(() -> drained, Duration.ofMinutes(1));
+
+    private static ExitCode exitCode(Shutdown shutdown) {
+        return shutdown.exit().orTimeout(20, TimeUnit.SECONDS).join();
+    }
+
+    @Test
+    void firstSignalDrains() {
+        shutdown.onSignal();
+
+        assertThat(shutdown.exit()).isNotDone();
+        drained.complete(null);
+        assertThat(exitCode(shutdown)).isEqualTo(ExitCode.DONE);
+    }
+
+    @Test
+    void secondSignalCuts() {
+        shutdown.onSignal();
+        shutdown.onSignal();
+
+        assertThat(exitCode(shutdown)).isEqualTo(ExitCode.FAILED);
+    }
+
+    @Test
+    void drainThatDoesNotEndIsCut() {
+        Shutdown limited = new Shutdown(() -> drained, Duration.ofMillis(1));
+
+        limited.onSignal();
+
+        assertThat(exitCode(limited)).isEqualTo(ExitCode.FAILED);
+    }
+
+    @Test
+    void failedDrainIsAFailure() {
+        drained.completeExceptionally(new IllegalStateException("broken"));
+        shutdown.onSignal();
+
+        assertThat(exitCode(shutdown)).isEqualTo(ExitCode.FAILED);
+    }
+}
--- a/entry/src/main/java/firwheel/entry/AnswerWriter.java
+++ b/entry/src/main/java/firwheel/entry/AnswerWriter.java
@@ -147,7 +147,7 @@
     private ObjectNode errorBody(FirwheelException failure) {
         ObjectNode root = MAPPER.createObjectNode();
         root.putObject("error")
-                .put("message", failure.getMessage() + " " + failure.code().remedy())
+                .put("message", failure.advice())
                 .put("type", failure.code().name().toLowerCase(Locale.ROOT))
                 .put("code", failure.code().label())
                 .put("outcome", failure.code().outcome().label())
--- a/entry/src/main/java/firwheel/entry/CallerHandler.java
+++ b/entry/src/main/java/firwheel/entry/CallerHandler.java
@@ -50,10 +50,10 @@
     void handle(HttpServerRequest request) {
         String requestId = CallerRequestReader.requestId(request);
         AnswerWriter answer = new AnswerWriter(request, requestId, metrics);
-        if (request.path().equals("/v1/models")) {
+        String path = request.path() == null ? "" : request.path();
+        if (path.equals("/v1/models")) {
             answerModels(request, answer);
-        } else if (request.path().equals("/v1/chat/completions")
-                || request.path().equals("/v1/completions")) {
+        } else if (path.equals("/v1/chat/completions") || path.equals("/v1/completions")) {
             requireMethod(
                     request,
                     answer,
@@ -62,7 +62,7 @@
                             request,
                             answer,
                             body -> accept(answer, () -> reader.readCompletion(request, requestId, body))));
-        } else if (request.path().startsWith(CallerRequestReader.SERVICES_PREFIX)) {
+        } else if (path.startsWith(CallerRequestReader.SERVICES_PREFIX)) {
             readBody(request, answer, body -> accept(answer, () -> reader.readServiceCall(request, requestId, body)));
         } else {
             answer.error(new FirwheelException(ResultCode.UNKNOWN_PATH, "no such path"));
@@ -93,30 +93,7 @@
     }
 
     private void readBody(HttpServerRequest request, AnswerWriter answer, Consumer<Buffer> whole) {
-        Buffer body = Buffer.buffer();
-        long timer = vertx.setTimer(settings.bodyTimeoutMillis(), ignored -> {
-            answer.error(new FirwheelException(ResultCode.REQUEST_TIMEOUT, "the body did not arrive in time"));
-            request.connection().close();
-        });
-        request.handler(piece -> {
-            if (answer.isOver()) {
-                return;
-            }
-            if (body.length() + piece.length() > settings.maxBodyBytes()) {
-                vertx.cancelTimer(timer);
-                answer.error(new FirwheelException(
-                        ResultCode.BODY_TOO_LARGE, "the limit is " + settings.maxBodyBytes() + " bytes"));
-                return;
-            }
-            body.appendBuffer(piece);
-        });
-        request.exceptionHandler(error -> vertx.cancelTimer(timer));
-        request.endHandler(ignored -> {
-            vertx.cancelTimer(timer);
-            if (!answer.isOver()) {
-                whole.accept(body);
-            }
-        });
+        BodyReader.read(vertx, settings, request, answer, whole);
     }
 
     private void accept(AnswerWriter answer, Supplier<CallerRequest> read) {
--- a/entry/src/main/java/firwheel/entry/CallerRequestReader.java
+++ b/entry/src/main/java/firwheel/entry/CallerRequestReader.java
@@ -1,7 +1,10 @@
 package firwheel.entry;
 
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import firwheel.model.FirwheelException;
 import firwheel.model.Priority;
 import firwheel.model.ResultCode;
@@ -29,12 +32,16 @@
     private static final Duration DEFAULT_DEADLINE = Duration.ofMinutes(10);
     private static final long MAX_DEADLINE_MILLIS = Duration.ofHours(1).toMillis();
     private static final int DEFAULT_MAX_TOKENS = 256;
+    private static final int MAX_MAX_TOKENS = 1_000_000;
     private static final int BYTES_PER_TOKEN = 4;
     private static final int MAX_HEADER_VALUE_CHARS = 256;
     private static final Pattern SAFE_VALUE = Pattern.compile("[\\x21-\\x7e]{1," + MAX_HEADER_VALUE_CHARS + "}");
     private static final Set<HttpMethod> SAFE_METHODS = Set.of(HttpMethod.GET, HttpMethod.HEAD, HttpMethod.OPTIONS);
 
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final ObjectMapper mapper = JsonMapper.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
 
     /** Returns the caller's request id, or a new one where it gave none or an unusable one. */
     static String requestId(HttpServerRequest request) {
@@ -55,9 +62,10 @@
         if (!json.has(promptField)) {
             throw new FirwheelException(ResultCode.MISSING_FIELD, promptField + " is missing");
         }
-        int maxTokens = json.path("max_tokens").asInt(DEFAULT_MAX_TOKENS);
-        if (maxTokens < 1) {
-            throw new FirwheelException(ResultCode.MISSING_FIELD, "max_tokens must be at least 1");
+        int maxTokens = maxTokens(json.path("max_tokens"));
+        JsonNode stream = json.path("stream");
+        if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
+            throw new FirwheelException(ResultCode.MISSING_FIELD, "stream must be true or false");
         }
         return new CallerRequest(
                 requestId,
@@ -72,13 +80,14 @@
                 request.path(),
                 "application/json",
                 body.getBytes(),
-                json.path("stream").asBoolean(false),
+                stream.asBoolean(false),
                 body.length() / BYTES_PER_TOKEN + maxTokens);
     }
 
     /** Reads a call to a plain service. */
     CallerRequest readServiceCall(HttpServerRequest request, String requestId, Buffer body) {
-        String rest = request.uri().substring(SERVICES_PREFIX.length());
+        String query = request.query() == null ? "" : "?" + request.query();
+        String rest = request.path().substring(SERVICES_PREFIX.length()) + query;
         int slash = rest.indexOf('/');
         String service = slash < 0 ? rest : rest.substring(0, slash);
         String contentType = request.getHeader("Content-Type");
@@ -99,6 +108,21 @@
                 1 + body.length() / BYTES_PER_TOKEN);
     }
 
+    private static int maxTokens(JsonNode given) {
+        if (given.isMissingNode() || given.isNull()) {
+            return DEFAULT_MAX_TOKENS;
+        }
+        boolean inRange = given.isIntegralNumber()
+                && given.canConvertToInt()
+                && given.asInt() >= 1
+                && given.asInt() <= MAX_MAX_TOKENS;
+        if (!inRange) {
+            throw new FirwheelException(
+                    ResultCode.MISSING_FIELD, "max_tokens must be an integer from 1 to " + MAX_MAX_TOKENS);
+        }
+        return given.asInt();
+    }
+
     private JsonNode parseObject(Buffer body) {
         try {
             JsonNode json = mapper.readTree(body.getBytes());
--- /dev/null
+++ b/entry/src/main/java/firwheel/entry/CallerServer.java
@@ -0,0 +1,90 @@
+package firwheel.entry;
+
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/** HTTP/1.1 server for callers. It bounds the size of request heads and the time that a connection may lie idle. */
+final class CallerServer {
+    private static final int MAX_REQUEST_LINE_BYTES = 4 * 1024;
+    private static final int MAX_HEADER_BYTES = 16 * 1024;
+
+    private final Vertx vertx;
+    private final EntrySettings settings;
+    private final EntryMetrics metrics;
+    private final Consumer<HttpServerRequest> handler;
+    private final Map<HttpConnection, ConnectionGuard> guards = new HashMap<>();
+
+    private CallerServer(
+            Vertx vertx, EntrySettings settings, EntryMetrics metrics, Consumer<HttpServerRequest> handler) {
+        this.vertx = vertx;
+        this.settings = settings;
+        this.metrics = metrics;
+        this.handler = handler;
+    }
+
+    /** Listens for callers; {@code handler} is called on the event loop with each request that is valid HTTP. */
+    static CompletableFuture<HttpServer> listen(
+            Vertx vertx, EntrySettings settings, EntryMetrics metrics, Consumer<HttpServerRequest> handler) {
+        CallerServer server = new CallerServer(vertx, settings, metrics, handler);
+        return vertx.createHttpServer(options())
+                .connectionHandler(server::onConnection)
+                .requestHandler(server::onRequest)
+                .invalidRequestHandler(server::onInvalidRequest)
+                .listen(settings.port(), settings.ip())
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    private static HttpServerOptions options() {
+        return new HttpServerOptions()
+                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setHttp2ClearTextEnabled(false)
+                .setTcpNoDelay(true);
+    }
+
+    private void onConnection(HttpConnection connection) {
+        guards.put(
+                connection,
+                new ConnectionGuard(vertx, connection, settings.bodyTimeoutMillis(), settings.idleTimeoutMillis()));
+        connection.closeHandler(ignored -> {
+            ConnectionGuard guard = guards.remove(connection);
+            if (guard != null) {
+                guard.stop();
+            }
+        });
+    }
+
+    private void onRequest(HttpServerRequest request) {
+        ConnectionGuard guard = guards.get(request.connection());
+        if (guard != null) {
+            guard.requestStarted();
+            request.response().endHandler(ignored -> guard.requestEnded());
+        }
+        handler.accept(request);
+    }
+
+    private void onInvalidRequest(HttpServerRequest request) {
+        Throwable cause = request.decoderResult().cause();
+        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        FirwheelException failure = tooLong
+                ? new FirwheelException(
+                        ResultCode.HEAD_TOO_LARGE,
+                        "the limits are " + MAX_REQUEST_LINE_BYTES + " bytes for the request line and "
+                                + MAX_HEADER_BYTES + " for all headers")
+                : new FirwheelException(ResultCode.MALFORMED_HTTP, "the request cannot be read");
+        new AnswerWriter(request, CallerRequestReader.requestId(request), metrics).error(failure);
+        request.connection().close();
+    }
+}
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -17,7 +17,6 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -29,8 +28,6 @@
 
 /** The process that takes requests from callers. One event loop carries its traffic. */
 public final class EntryServer {
-    private static final int MAX_HEADER_BYTES = 16 * 1024;
-    private static final int IDLE_CONNECTION_SECONDS = 900;
     private static final Logger logger = LoggerFactory.getLogger(EntryServer.class);
 
     private final Vertx vertx;
@@ -96,11 +93,7 @@
         links = new AgentLinks(endpoint, report -> {}, metrics::countForeignFrame);
         CallerHandler handler = new CallerHandler(vertx, settings, table, this::run, () -> draining, metrics);
         AdminServer admin = new AdminServer(metrics.registry(), this::ready, this::status);
-        return vertx.createHttpServer(serverOptions())
-                .requestHandler(handler::handle)
-                .listen(settings.port(), settings.ip())
-                .toCompletionStage()
-                .toCompletableFuture()
+        return CallerServer.listen(vertx, settings, metrics, handler::handle)
                 .thenCompose(server -> {
                     callerServer = server;
                     return admin.listen(vertx, settings.ip(), settings.adminPort());
@@ -111,13 +104,6 @@
                 });
     }
 
-    private static HttpServerOptions serverOptions() {
-        return new HttpServerOptions()
-                .setMaxHeaderSize(MAX_HEADER_BYTES)
-                .setIdleTimeout(IDLE_CONNECTION_SECONDS)
-                .setTcpNoDelay(true);
-    }
-
     private void run(CallerRequest request, AnswerWriter answer) {
         if (links == null) {
             throw new IllegalStateException("not listening");
--- a/model/src/main/java/firwheel/model/FirwheelException.java
+++ b/model/src/main/java/firwheel/model/FirwheelException.java
@@ -30,6 +30,13 @@
         return code;
     }
 
+    /** Returns the message followed by what to do. */
+    public String advice() {
+        String message = String.valueOf(getMessage());
+        String separator = message.endsWith(".") || message.endsWith("\n") ? " " : ". ";
+        return message + separator + code.remedy();
+    }
+
     /** Returns the time after which a retry makes sense; zero when at once or never. */
     public Duration retryAfter() {
         return retryAfter;
--- a/model/src/main/java/firwheel/model/ResultCode.java
+++ b/model/src/main/java/firwheel/model/ResultCode.java
@@ -18,6 +18,8 @@
     REQUEST_TIMEOUT(1008, Outcome.NOT_RUN, 408, "The request did not arrive in time.", "Send it again."),
     KEY_REUSED(1009, Outcome.NOT_RUN, 422, "The idempotency key was used with another body.", "Use a new key."),
     METHOD_NOT_ALLOWED(1010, Outcome.NOT_RUN, 405, "The method is not served on this path.", "Use the listed method."),
+    HEAD_TOO_LARGE(1011, Outcome.NOT_RUN, 431, "The request line or the headers exceed the limit.", "Send less."),
+    MALFORMED_HTTP(1012, Outcome.NOT_RUN, 400, "The request is not valid HTTP/1.1.", "Use an HTTP library."),
 
     NO_TARGET(2001, Outcome.NOT_RUN, 503, "No serving target is reachable.", "Retry after the stated time."),
     SATURATED(2002, Outcome.NOT_RUN, 429, "All targets are at their limits.", "Retry after the stated time."),
@@ -79,7 +81,8 @@
     TRANSFER_REJECTED(8004, Outcome.NOT_RUN, 409, "An expert transfer failed its digest.", "Transfer it again."),
 
     BAD_SETTINGS(9001, Outcome.NOT_RUN, 400, "The settings are invalid.", "Correct the listed paths."),
-    BAD_USAGE(9002, Outcome.NOT_RUN, 400, "The command line is invalid.", "See --help.");
+    BAD_USAGE(9002, Outcome.NOT_RUN, 400, "The command line is invalid.", "See --help."),
+    CANNOT_LISTEN(9003, Outcome.NOT_RUN, 503, "The address cannot be listened on.", "Check IP number and port.");
 
     private final int number;
     private final Outcome outcome;
--- a/wire/src/main/java/firwheel/wire/Link.java
+++ b/wire/src/main/java/firwheel/wire/Link.java
@@ -30,15 +30,19 @@
     private static final int LENGTH_BYTES = 4;
     private static final Logger logger = LoggerFactory.getLogger(Link.class);
 
+    private final Vertx vertx;
     private final NetSocket socket;
     private final MessageCodec codec;
     private final Handshake handshake;
     private final RecordParser parser;
+    private final LinkTimeouts timeouts;
     private final Runnable onRefused;
     private final CompletableFuture<Link> established = new CompletableFuture<>();
     private Consumer<Message> messageHandler = message -> {};
     private Runnable closeHandler = () -> {};
     private boolean readingLength = true;
+    private boolean watchingFrame;
+    private long completeFrames;
     private boolean refused;
     private boolean closed;
 
@@ -47,19 +51,24 @@
             NetSocket socket,
             MessageCodec codec,
             Handshake handshake,
-            Duration handshakeTimeout,
+            LinkTimeouts timeouts,
             Runnable onRefused) {
+        this.vertx = vertx;
         this.socket = socket;
         this.codec = codec;
         this.handshake = handshake;
+        this.timeouts = timeouts;
         this.onRefused = onRefused;
         parser = RecordParser.newFixed(LENGTH_BYTES, this::onRecord);
-        long timer = vertx.setTimer(handshakeTimeout.toMillis(), id -> {
+        long timer = vertx.setTimer(timeouts.handshake().toMillis(), id -> {
             if (!handshake.complete()) {
                 reject(new FirwheelException(ResultCode.LINK_UNAUTHENTICATED, "no handshake in time"));
             }
         });
-        socket.handler(parser);
+        socket.handler(bytes -> {
+            parser.handle(bytes);
+            watchIncompleteFrame();
+        });
         socket.exceptionHandler(error -> socket.close());
         socket.closeHandler(ignored -> {
             vertx.cancelTimer(timer);
@@ -76,9 +85,9 @@
             NetSocket socket,
             MessageCodec codec,
             Handshake handshake,
-            Duration handshakeTimeout,
+            LinkTimeouts timeouts,
             Runnable onRefused) {
-        Link link = new Link(vertx, socket, codec, handshake, handshakeTimeout, onRefused);
+        Link link = new Link(vertx, socket, codec, handshake, timeouts, onRefused);
         link.write(link.handshake.hello());
         return link.established;
     }
@@ -139,6 +148,7 @@
                 onLength(record.getInt(0));
             } else {
                 readingLength = true;
+                completeFrames++;
                 parser.fixedSizeMode(LENGTH_BYTES);
                 onMessageBytes(record.getBytes());
             }
@@ -150,6 +160,22 @@
         }
     }
 
+    private void watchIncompleteFrame() {
+        if (readingLength || watchingFrame || closed) {
+            return;
+        }
+        watchingFrame = true;
+        long frame = completeFrames;
+        vertx.setTimer(timeouts.frame().toMillis(), id -> {
+            watchingFrame = false;
+            if (!closed && !readingLength && completeFrames == frame) {
+                reject(new FirwheelException(ResultCode.BAD_FRAME, "frame not complete in time"));
+            } else {
+                watchIncompleteFrame();
+            }
+        });
+    }
+
     private void onLength(int frameBytes) {
         int limit = handshake.complete() ? MAX_FRAME_BYTES : MAX_HANDSHAKE_FRAME_BYTES;
         if (frameBytes < 1 || frameBytes > limit) {
@@ -188,6 +214,9 @@
         if (closed) {
             return;
         }
+        if (!readingLength) {
+            reject(new FirwheelException(ResultCode.BAD_FRAME, "closed within a frame"));
+        }
         closed = true;
         established.completeExceptionally(new FirwheelException(ResultCode.LINK_LOST, "closed during handshake"));
         closeHandler.run();
--- a/wire/src/main/java/firwheel/wire/LinkEndpoint.java
+++ b/wire/src/main/java/firwheel/wire/LinkEndpoint.java
@@ -6,7 +6,6 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -15,27 +14,26 @@
 
 /** Opens and accepts links on behalf of one process. */
 public final class LinkEndpoint {
-    private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(3);
     private static final Logger logger = LoggerFactory.getLogger(LinkEndpoint.class);
 
     private final Vertx vertx;
     private final LinkSecurity security;
     private final LinkIdentity self;
-    private final Duration handshakeTimeout;
+    private final LinkTimeouts timeouts;
     private final MessageCodec codec = new MessageCodec();
     private final NetClient client;
     private final AtomicLong refusedLinks = new AtomicLong();
 
     /** Creates an endpoint; call it on the event loop that will carry its links. */
     public LinkEndpoint(Vertx vertx, LinkSecurity security, LinkIdentity self) {
-        this(vertx, security, self, HANDSHAKE_TIMEOUT);
+        this(vertx, security, self, LinkTimeouts.DEFAULTS);
     }
 
-    LinkEndpoint(Vertx vertx, LinkSecurity security, LinkIdentity self, Duration handshakeTimeout) {
+    LinkEndpoint(Vertx vertx, LinkSecurity security, LinkIdentity self, LinkTimeouts timeouts) {
         this.vertx = vertx;
         this.security = security;
         this.self = self;
-        this.handshakeTimeout = handshakeTimeout;
+        this.timeouts = timeouts;
         client = vertx.createNetClient(LinkTransport.client(security.tls()));
     }
 
@@ -69,7 +67,7 @@
 
     private CompletableFuture<Link> establish(NetSocket socket, boolean initiator) {
         Handshake handshake = new Handshake(security.key(), self, initiator);
-        return Link.establish(vertx, socket, codec, handshake, handshakeTimeout, refusedLinks::incrementAndGet);
+        return Link.establish(vertx, socket, codec, handshake, timeouts, refusedLinks::incrementAndGet);
     }
 
     private void onTlsRefused(Throwable error) {
--- /dev/null
+++ b/wire/src/test/java/firwheel/wire/LinkEndpointTest.java
@@ -0,0 +1,283 @@
+package firwheel.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Links over real sockets, with friendly and hostile peers. The acceptor echoes probes. */
+final class LinkEndpointTest {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final long TIMEOUT_SECONDS = 20;
+    private static final LinkTimeouts SHORT = new LinkTimeouts(Duration.ofMillis(300), Duration.ofMillis(300));
+    private static final LinkTimeouts LONG = new LinkTimeouts(Duration.ofSeconds(60), Duration.ofSeconds(60));
+    private static final SharedKey KEY = new SharedKey("the key of this deployment");
+
+    private final Vertx vertx = Vertx.vertx();
+    private LinkEndpoint acceptor = endpoint(new LinkSecurity(KEY, null), LONG);
+    private int port;
+
+    @BeforeEach
+    void listen() {
+        listen(new LinkSecurity(KEY, null), LONG);
+    }
+
+    @AfterEach
+    void stop() {
+        get(vertx.close().toCompletionStage().toCompletableFuture());
+    }
+
+    private LinkEndpoint endpoint(LinkSecurity security, LinkTimeouts timeouts) {
+        return new LinkEndpoint(vertx, security, new LinkIdentity("10.0.0.1:1", "a", "entry", 7), timeouts);
+    }
+
+    private void listen(LinkSecurity security, LinkTimeouts timeouts) {
+        acceptor = endpoint(security, timeouts);
+        port = get(acceptor.listen(
+                        LOOPBACK,
+                        0,
+                        link -> link.onMessage(message -> {
+                            if (message instanceof LoadMessage.Probe) {
+                                link.send(message);
+                            }
+                        })))
+                .actualPort();
+    }
+
+    private static <T> T get(CompletableFuture<T> future) {
+        return future.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    /** Opens a link and returns once a probe on it was echoed. */
+    private Link echoed(LinkSecurity security) {
+        CompletableFuture<Message> echo = new CompletableFuture<>();
+        Link link = get(endpoint(security, LONG).connect(LOOPBACK, port).thenApply(open -> {
+            open.onMessage(echo::complete);
+            open.send(new LoadMessage.Probe(5));
+            return open;
+        }));
+        assertThat(get(echo)).isEqualTo(new LoadMessage.Probe(5));
+        return link;
+    }
+
+    private void awaitRefused(long expected) {
+        CompletableFuture<Void> reached = new CompletableFuture<>();
+        vertx.setPeriodic(1, timer -> {
+            if (acceptor.refusedLinks() == expected) {
+                vertx.cancelTimer(timer);
+                reached.complete(null);
+            }
+        });
+        get(reached);
+    }
+
+    @Nested
+    final class Friends {
+        @Test
+        void authenticateEachOther() {
+            assertThat(echoed(new LinkSecurity(KEY, null)).peer().role()).isEqualTo("entry");
+            assertThat(acceptor.refusedLinks()).isZero();
+        }
+
+        @Test
+        void ofANewerMinorVersionAreAccepted() throws IOException {
+            try (RawPeer peer = new RawPeer(port)) {
+                LinkMessage.Hello hello = peer.hello(Link.MAJOR_VERSION, Link.MINOR_VERSION + 5);
+                byte[] frame = RawPeer.CODEC.encode(hello);
+                byte[] longer = Arrays.copyOf(frame, frame.length + 1);
+                longer[1]++;
+                peer.sendFrame(longer);
+                peer.send(peer.proof(KEY, hello, peer.receiveHello()));
+                assertThat(peer.receive()).isInstanceOf(LinkMessage.Proof.class);
+                peer.sendFrame(new byte[] {99, (byte) 0x90});
+                peer.send(new LoadMessage.Probe(8));
+
+                assertThat(peer.receive()).isEqualTo(new LoadMessage.Probe(8));
+            }
+        }
+    }
+
+    /** Each closes its own connection and is counted, while a link opened before goes on. */
+    @Nested
+    final class Hostile {
+        private void refuses(RawPeer.Script script) throws IOException {
+            Link bystander = echoed(new LinkSecurity(KEY, null));
+            try (RawPeer peer = new RawPeer(port)) {
+                script.run(peer);
+
+                assertThat(peer.closedByPeer()).isTrue();
+            }
+            awaitRefused(1);
+            assertThat(bystander.isClosed()).isFalse();
+            echoed(new LinkSecurity(KEY, null));
+        }
+
+        @Test
+        void wrongKey() throws IOException {
+            refuses(peer -> {
+                LinkMessage.Hello hello = peer.hello(Link.MAJOR_VERSION, 0);
+                peer.send(hello);
+                peer.send(peer.proof(new SharedKey("another key"), hello, peer.receiveHello()));
+            });
+        }
+
+        @Test
+        void wrongKeyFailsTheConnectorToo() {
+            LinkEndpoint stranger = endpoint(new LinkSecurity(new SharedKey("another key"), null), LONG);
+
+            assertThatThrownBy(() -> get(stranger.connect(LOOPBACK, port))).hasMessageContaining("FW-700");
+        }
+
+        @Test
+        void reflectedProof() throws IOException {
+            refuses(peer -> {
+                peer.send(peer.receiveHello());
+                peer.send(peer.receive());
+            });
+        }
+
+        @Test
+        void proofBeforeHello() throws IOException {
+            refuses(peer -> peer.send(new LinkMessage.Proof(new byte[32])));
+        }
+
+        @Test
+        void messageBeforeAuthentication() throws IOException {
+            refuses(peer -> peer.send(new LoadMessage.Probe(1)));
+        }
+
+        @Test
+        void otherMajorVersion() throws IOException {
+            refuses(peer -> peer.send(peer.hello(Link.MAJOR_VERSION + 1, 0)));
+        }
+
+        @Test
+        void oversizedFrameBeforeAuthentication() throws IOException {
+            refuses(peer -> peer.sendLength(5_000));
+        }
+
+        @Test
+        void oversizedFrameLater() throws IOException {
+            refuses(peer -> {
+                peer.authenticate(KEY);
+                peer.sendLength(Link.MAX_FRAME_BYTES + 1);
+            });
+        }
+
+        @Test
+        void negativeLength() throws IOException {
+            refuses(peer -> peer.sendLength(-1));
+        }
+
+        @Test
+        void garbageBeforeAuthentication() throws IOException {
+            refuses(peer -> peer.sendText("GET / HTTP/1.1\r\n\r\n"));
+        }
+
+        @Test
+        void garbageLater() throws IOException {
+            refuses(peer -> {
+                peer.authenticate(KEY);
+                peer.sendFrame(new byte[] {13, 1, 2, 3});
+            });
+        }
+
+        @Test
+        void halfFrameThenClosed() throws IOException {
+            refuses(peer -> {
+                peer.authenticate(KEY);
+                peer.sendLength(100);
+                peer.sendText("half");
+                peer.shutdownOutput();
+            });
+        }
+
+        @Test
+        void halfFrameThenSilence() throws IOException {
+            listen(new LinkSecurity(KEY, null), SHORT);
+            refuses(peer -> {
+                peer.authenticate(KEY);
+                peer.sendLength(100);
+                peer.sendText("half");
+            });
+        }
+
+        @Test
+        void stalledHandshake() throws IOException {
+            listen(new LinkSecurity(KEY, null), SHORT);
+            refuses(peer -> peer.send(peer.hello(Link.MAJOR_VERSION, 0)));
+        }
+    }
+
+    @Nested
+    final class Tls {
+        private final LinkTls ours = new LinkTls(pem("process.pem"), pem("process.key"), pem("ca.pem"));
+
+        @BeforeEach
+        void listenWithTls() {
+            listen(new LinkSecurity(KEY, ours), LONG);
+        }
+
+        private static String pem(String name) {
+            try (var in = LinkEndpointTest.class.getResourceAsStream("/test-only/" + name)) {
+                return new String(Objects.requireNonNull(in, name).readAllBytes(), StandardCharsets.UTF_8);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        private void refused(@Nullable LinkTls tls) {
+            LinkEndpoint stranger = endpoint(new LinkSecurity(KEY, tls), LONG);
+
+            assertThatThrownBy(() -> get(stranger.connect(LOOPBACK, port))).isNotNull();
+            awaitRefused(1);
+            echoed(new LinkSecurity(KEY, ours));
+        }
+
+        @Test
+        void joinsHoldersOfTrustedCertificates() {
+            echoed(new LinkSecurity(KEY, ours));
+        }
+
+        @Test
+        void refusesAStrangersCertificate() {
+            refused(new LinkTls(pem("stranger.pem"), pem("stranger.key"), pem("ca.pem")));
+        }
+
+        @Test
+        void refusesPlainTcp() {
+            refused(null);
+        }
+
+        @Test
+        void refusesAServerThatIsNotTrusted() {
+            LinkTls other = new LinkTls(pem("process.pem"), pem("process.key"), pem("stranger.pem"));
+
+            assertThatThrownBy(() ->
+                            get(endpoint(new LinkSecurity(KEY, other), LONG).connect(LOOPBACK, port)))
+                    .isNotNull();
+        }
+    }
+
+    /** Test of the parts that a proof covers, against values made without {@link Handshake}. */
+    @Test
+    void proofCoversSideNoncesAndIdentities() {
+        assertThat(KEY.mac(List.of(new byte[] {1}, new byte[] {2})))
+                .isNotEqualTo(KEY.mac(List.of(new byte[] {1, 2})))
+                .isNotEqualTo(KEY.mac(List.of(new byte[] {2}, new byte[] {1})));
+    }
+}
