--- /dev/null
+++ b/wire/src/main/java/firwheel/wire/Link.java
@@ -0,0 +1,224 @@
+package firwheel.wire;
+
+import firwheel.model.EventCode;
+import firwheel.model.Events;
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One authenticated TCP connection between two firwheel processes. Frames have a 4-byte length. All methods are called
+ * on the event loop of the socket.
+ */
+public final class Link {
+    /** Protocol version; ends with different major versions do not talk. */
+    public static final int MAJOR_VERSION = 1;
+    /** Newer minor versions only add fields and message types. */
+    public static final int MINOR_VERSION = 0;
+    /** Largest frame after authentication, in bytes. */
+    public static final int MAX_FRAME_BYTES = 17 * 1024 * 1024;
+
+    private static final int MAX_HANDSHAKE_FRAME_BYTES = 4 * 1024;
+    private static final int LENGTH_BYTES = 4;
+    private static final Logger logger = LoggerFactory.getLogger(Link.class);
+
+    private final Vertx vertx;
+    private final NetSocket socket;
+    private final MessageCodec codec;
+    private final Handshake handshake;
+    private final RecordParser parser;
+    private final LinkTimeouts timeouts;
+    private final Runnable onRefused;
+    private final CompletableFuture<Link> established = new CompletableFuture<>();
+    private Consumer<Message> messageHandler = message -> {};
+    private Runnable closeHandler = () -> {};
+    private boolean readingLength = true;
+    private boolean watchingFrame;
+    private long completeFrames;
+    private boolean refused;
+    private boolean closed;
+
+    private Link(
+            Vertx vertx,
+            NetSocket socket,
+            MessageCodec codec,
+            Handshake handshake,
+            LinkTimeouts timeouts,
+            Runnable onRefused) {
+        this.vertx = vertx;
+        this.socket = socket;
+        this.codec = codec;
+        this.handshake = handshake;
+        this.timeouts = timeouts;
+        this.onRefused = onRefused;
+        parser = RecordParser.newFixed(LENGTH_BYTES, this::onRecord);
+        long timer = vertx.setTimer(timeouts.handshake().toMillis(), id -> {
+            if (!handshake.complete()) {
+                reject(new FirwheelException(ResultCode.LINK_UNAUTHENTICATED, "no handshake in time"));
+            }
+        });
+        socket.handler(bytes -> {
+            parser.handle(bytes);
+            watchIncompleteFrame();
+        });
+        socket.exceptionHandler(error -> socket.close());
+        socket.closeHandler(ignored -> {
+            vertx.cancelTimer(timer);
+            onClosed();
+        });
+    }
+
+    /**
+     * Starts the handshake on a connected socket; the future completes when the peer is authenticated. {@code onRefused}
+     * runs when the peer fails authentication or sends a bad frame, then or later.
+     */
+    static CompletableFuture<Link> establish(
+            Vertx vertx,
+            NetSocket socket,
+            MessageCodec codec,
+            Handshake handshake,
+            LinkTimeouts timeouts,
+            Runnable onRefused) {
+        Link link = new Link(vertx, socket, codec, handshake, timeouts, onRefused);
+        link.write(link.handshake.hello());
+        return link.established;
+    }
+
+    /** Returns how the peer named itself. */
+    public LinkMessage.Hello peer() {
+        return handshake.peer();
+    }
+
+    /** Sets the receiver of messages. */
+    public void onMessage(Consumer<Message> handler) {
+        messageHandler = handler;
+    }
+
+    /** Sets what runs once when the link is gone. */
+    public void onClose(Runnable handler) {
+        closeHandler = handler;
+        if (closed) {
+            handler.run();
+        }
+    }
+
+    /** Sends a message; a message on a closed link is dropped, and the close handler tells of the loss. */
+    public void send(Message message) {
+        if (!closed) {
+            write(message);
+        }
+    }
+
+    /** Returns whether the socket takes no more for now. */
+    public boolean writeQueueFull() {
+        return socket.writeQueueFull();
+    }
+
+    /** Returns whether the link is gone. */
+    public boolean isClosed() {
+        return closed;
+    }
+
+    /** Closes the link. */
+    public void close() {
+        socket.close();
+    }
+
+    private void write(Message message) {
+        byte[] frame = codec.encode(message);
+        socket.write(Buffer.buffer(LENGTH_BYTES + frame.length)
+                .appendInt(frame.length)
+                .appendBytes(frame));
+    }
+
+    private void onRecord(Buffer record) {
+        if (closed || refused) {
+            return;
+        }
+        try {
+            if (readingLength) {
+                onLength(record.getInt(0));
+            } else {
+                readingLength = true;
+                completeFrames++;
+                parser.fixedSizeMode(LENGTH_BYTES);
+                onMessageBytes(record.getBytes());
+            }
+        } catch (FirwheelException e) {
+            reject(e);
+        } catch (RuntimeException e) {
+            logger.atWarn().setCause(e).log("message could not be handled");
+            reject(new FirwheelException(ResultCode.BAD_FRAME, "message could not be handled", Duration.ZERO, e));
+        }
+    }
+
+    private void watchIncompleteFrame() {
+        if (readingLength || watchingFrame || closed) {
+            return;
+        }
+        watchingFrame = true;
+        long frame = completeFrames;
+        vertx.setTimer(timeouts.frame().toMillis(), id -> {
+            watchingFrame = false;
+            if (!closed && !readingLength && completeFrames == frame) {
+                reject(new FirwheelException(ResultCode.BAD_FRAME, "frame not complete in time"));
+            } else {
+                watchIncompleteFrame();
+            }
+        });
+    }
+
+    private void onLength(int frameBytes) {
+        int limit = handshake.complete() ? MAX_FRAME_BYTES : MAX_HANDSHAKE_FRAME_BYTES;
+        if (frameBytes < 1 || frameBytes > limit) {
+            throw new FirwheelException(ResultCode.BAD_FRAME, "frame of " + frameBytes + " bytes, limit " + limit);
+        }
+        readingLength = false;
+        parser.fixedSizeMode(frameBytes);
+    }
+
+    private void onMessageBytes(byte[] frame) {
+        Message message = codec.decode(frame);
+        if (handshake.complete()) {
+            messageHandler.accept(message);
+        } else if (message instanceof LinkMessage.Hello hello) {
+            write(handshake.onHello(hello));
+        } else if (message instanceof LinkMessage.Proof proof) {
+            handshake.onProof(proof);
+            established.complete(this);
+        } else {
+            throw new FirwheelException(ResultCode.LINK_UNAUTHENTICATED, "message before authentication");
+        }
+    }
+
+    private void reject(FirwheelException reason) {
+        if (refused) {
+            return;
+        }
+        refused = true;
+        onRefused.run();
+        Events.log(logger, EventCode.LINK_REFUSED, "peer", socket.remoteAddress(), "reason", reason.getMessage());
+        established.completeExceptionally(reason);
+        socket.close();
+    }
+
+    private void onClosed() {
+        if (closed) {
+            return;
+        }
+        if (!readingLength) {
+            reject(new FirwheelException(ResultCode.BAD_FRAME, "closed within a frame"));
+        }
+        closed = true;
+        established.completeExceptionally(new FirwheelException(ResultCode.LINK_LOST, "closed during handshake"));
+        closeHandler.run();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/firwheel/wire/LinkEndpoint.java
@@ -0,0 +1,77 @@
+package firwheel.wire;
+
+import firwheel.model.EventCode;
+import firwheel.model.Events;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Opens and accepts links on behalf of one process. */
+public final class LinkEndpoint {
+    private static final Logger logger = LoggerFactory.getLogger(LinkEndpoint.class);
+
+    private final Vertx vertx;
+    private final LinkSecurity security;
+    private final LinkIdentity self;
+    private final LinkTimeouts timeouts;
+    private final MessageCodec codec = new MessageCodec();
+    private final NetClient client;
+    private final AtomicLong refusedLinks = new AtomicLong();
+
+    /** Creates an endpoint; call it on the event loop that will carry its links. */
+    public LinkEndpoint(Vertx vertx, LinkSecurity security, LinkIdentity self) {
+        this(vertx, security, self, LinkTimeouts.DEFAULTS);
+    }
+
+    LinkEndpoint(Vertx vertx, LinkSecurity security, LinkIdentity self, LinkTimeouts timeouts) {
+        this.vertx = vertx;
+        this.security = security;
+        this.self = self;
+        this.timeouts = timeouts;
+        client = vertx.createNetClient(LinkTransport.client(security.tls()));
+    }
+
+    /** Returns the identity that peers see. */
+    public LinkIdentity self() {
+        return self;
+    }
+
+    /** Returns how many connections were closed because the peer failed authentication or sent a bad frame. */
+    public long refusedLinks() {
+        return refusedLinks.get();
+    }
+
+    /** Connects to a peer; fails when it is unreachable or not authentic. */
+    public CompletableFuture<Link> connect(String ip, int port) {
+        return client.connect(port, ip)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .thenCompose(socket -> establish(socket, true));
+    }
+
+    /** Listens for peers; {@code accepted} is called on the event loop with each authenticated link. */
+    public CompletableFuture<NetServer> listen(String ip, int port, Consumer<Link> accepted) {
+        NetServer server = vertx.createNetServer(LinkTransport.server(security.tls()));
+        server.connectHandler(socket -> {
+            var unused = establish(socket, false).thenAccept(accepted);
+        });
+        server.exceptionHandler(this::onTlsRefused);
+        return server.listen(port, ip).toCompletionStage().toCompletableFuture();
+    }
+
+    private CompletableFuture<Link> establish(NetSocket socket, boolean initiator) {
+        Handshake handshake = new Handshake(security.key(), self, initiator);
+        return Link.establish(vertx, socket, codec, handshake, timeouts, refusedLinks::incrementAndGet);
+    }
+
+    private void onTlsRefused(Throwable error) {
+        refusedLinks.incrementAndGet();
+        Events.log(logger, EventCode.LINK_REFUSED, "reason", "TLS: " + error.getMessage());
+    }
+}
