--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -20,7 +20,6 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import java.net.URI;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -40,8 +39,6 @@
     private static final double RETRIES_PER_SUCCESS = 0.1;
     private static final double MAX_SAVED_RETRIES = 20;
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
-    private static final int MAX_HEADER_BYTES = 16 * 1024;
-    private static final int IDLE_CONNECTION_SECONDS = 900;
     private static final Logger logger = LoggerFactory.getLogger(EntryServer.class);
 
     private final Vertx vertx;
@@ -124,11 +121,7 @@
                 metrics::countForeignFrame);
         CallerHandler handler = new CallerHandler(vertx, settings, table, this::run, () -> draining, metrics);
         AdminServer admin = new AdminServer(metrics.registry(), this::ready, this::status);
-        return vertx.createHttpServer(serverOptions())
-                .requestHandler(handler::handle)
-                .listen(settings.port(), settings.ip())
-                .toCompletionStage()
-                .toCompletableFuture()
+        return CallerServer.listen(vertx, settings, metrics, handler::handle)
                 .thenCompose(server -> {
                     callerServer = server;
                     return admin.listen(vertx, settings.ip(), settings.adminPort());
@@ -139,13 +132,6 @@
                 });
     }
 
-    private static HttpServerOptions serverOptions() {
-        return new HttpServerOptions()
-                .setMaxHeaderSize(MAX_HEADER_BYTES)
-                .setIdleTimeout(IDLE_CONNECTION_SECONDS)
-                .setTcpNoDelay(true);
-    }
-
     private ClaimService claims() {
         TableService platform = new HttpPlatform(vertx, URI.create(settings.platformUrl()), PLATFORM_TIMEOUT);
         return new ClaimService(
