--- /dev/null
+++ b/entry/src/test/java/firwheel/entry/Deployment.java
@@ -0,0 +1,173 @@
+package firwheel.entry;
+
+import firwheel.agent.AgentServer;
+import firwheel.agent.AgentSettings;
+import firwheel.model.RankAddress;
+import firwheel.model.RankKey;
+import firwheel.model.ResultCode;
+import firwheel.model.RowState;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import firwheel.routing.RouteDecision;
+import firwheel.routing.RouteRequest;
+import firwheel.routing.RoutingView;
+import firwheel.standin.InMemoryTableService;
+import firwheel.standin.StandInEngine;
+import firwheel.standin.StandInPlatform;
+import firwheel.standin.StandInService;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** One entry, one engine and one service, each target behind an agent and a proxy on the way to it. */
+final class Deployment implements AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String KEY = "test-key";
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+    final Vertx vertx = Vertx.vertx();
+    final StandInEngine engine = new StandInEngine(vertx, Duration.ofMillis(5), Duration.ofMillis(10));
+    final StandInService service = new StandInService(vertx, Duration.ofMillis(300));
+    final HttpServer platform;
+    final EntryServer entry;
+    final HttpClient client = HttpClient.newHttpClient();
+    private volatile TableSnapshot table = TableSnapshot.EMPTY;
+    private final Vertx engineVertx = Vertx.vertx();
+    private Vertx serviceVertx = Vertx.vertx();
+    private final int serviceTargetPort;
+    final AgentServer engineAgent;
+    AgentServer serviceAgent;
+    final LinkProxy engineLinks;
+    final LinkProxy serviceLinks;
+
+    Deployment() {
+        platform = new StandInPlatform(vertx, new InMemoryTableService())
+                .listen(LOOPBACK, 0)
+                .join();
+        int enginePort = engine.listen(LOOPBACK, 0).join().actualPort();
+        serviceTargetPort = service.listen(LOOPBACK, 0).join().actualPort();
+        engineAgent = agent(engineVertx, "engine", enginePort, 0);
+        serviceAgent = agent(serviceVertx, "service", serviceTargetPort, 0);
+        engineLinks = new LinkProxy(vertx, engineAgent.port());
+        serviceLinks = new LinkProxy(vertx, serviceAgent.port());
+        publish(RowState.SERVING);
+        EntrySettings settings = new EntrySettings(
+                LOOPBACK, 0, 0, 0, "zone", platformUrl(), List.of(), KEY, null, 1 << 20, 30_000, 60_000, 10_000);
+        entry = EntryServer.start(vertx, settings, () -> table, Deployment::route)
+                .join();
+    }
+
+    /** Puts a table in force in which both rows have this state. */
+    void publish(RowState state) {
+        table = new TableSnapshot(
+                table.revision() + 1,
+                List.of(
+                        row("engine", TargetKind.MODEL, "model", true, state, engineLinks.port()),
+                        row("service", TargetKind.SERVICE, "orders", false, state, serviceLinks.port())));
+    }
+
+    /** Kills the service's agent and starts a new process at its address. */
+    void restartServiceAgent() {
+        int port = serviceAgent.port();
+        close(serviceVertx);
+        serviceVertx = Vertx.vertx();
+        serviceAgent = agent(serviceVertx, "service", serviceTargetPort, port);
+    }
+
+    /** Kills the engine's agent. */
+    void killEngineAgent() {
+        close(engineVertx);
+    }
+
+    HttpRequest.Builder request(String path, String body) {
+        return HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + entry.port() + path))
+                .timeout(TIMEOUT)
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    CompletableFuture<HttpResponse<String>> book(String body, String key) {
+        HttpRequest.Builder request = request("/services/orders/bookings", body);
+        if (!key.isEmpty()) {
+            request.header("Idempotency-Key", key);
+        }
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    CompletableFuture<HttpResponse<String>> stream(String prompt, int tokens) {
+        String body =
+                "{\"model\":\"model\",\"prompt\":\"" + prompt + "\",\"stream\":true,\"max_tokens\":" + tokens + "}";
+        return client.sendAsync(request("/v1/completions", body).build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Waits until a condition holds that other threads bring about. */
+    void await(BooleanSupplier condition) {
+        CompletableFuture<Void> holds = new CompletableFuture<>();
+        long timer = vertx.setPeriodic(5, ignored -> {
+            if (condition.getAsBoolean()) {
+                holds.complete(null);
+            }
+        });
+        holds.orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS).join();
+        vertx.cancelTimer(timer);
+    }
+
+    @Override
+    public void close() {
+        List.of(engineVertx, serviceVertx, vertx).forEach(Deployment::close);
+    }
+
+    private static void close(Vertx instance) {
+        instance.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private String platformUrl() {
+        return "http://" + LOOPBACK + ":" + platform.actualPort();
+    }
+
+    private AgentServer agent(Vertx own, String row, int targetPort, int port) {
+        AgentSettings settings = new AgentSettings(
+                LOOPBACK, port, 0, "zone", row, 0, LOOPBACK, targetPort, platformUrl(), List.of(), KEY, null, 10_000);
+        return AgentServer.start(own, settings, () -> table).join();
+    }
+
+    private static TargetRow row(
+            String name, TargetKind kind, String served, boolean idempotent, RowState state, int port) {
+        List<RankAddress> hosts = List.of(new RankAddress(0, LOOPBACK, port));
+        return new TargetRow(
+                name,
+                kind,
+                List.of(served),
+                "zone",
+                state,
+                1,
+                64,
+                64,
+                1_000_000,
+                idempotent,
+                hosts,
+                false,
+                false,
+                1,
+                1);
+    }
+
+    /** Always the same rank, also after a refusal, so that tests see what the agent says. */
+    private static RouteDecision route(RouteRequest request, RoutingView view) {
+        return view.table().rows().stream()
+                .filter(row -> row.serves(request.kind(), request.servedName()))
+                .filter(row -> !request.excluded().contains(new RankKey(row.name(), 0)))
+                .<RouteDecision>map(row -> new RouteDecision.Chosen(
+                        new RankKey(row.name(), 0), row.hosts().get(0)))
+                .findFirst()
+                .orElse(new RouteDecision.Refused(ResultCode.NO_TARGET, Duration.ofSeconds(1)));
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/firwheel/entry/FaultPathTest.java
@@ -0,0 +1,195 @@
+package firwheel.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
+
+import firwheel.model.RowState;
+import firwheel.standin.ExpectedAnswer;
+import java.io.InputStream;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Faults on real sockets between an entry, its agents and their targets. */
+final class FaultPathTest {
+    private static final Pattern TEXT = Pattern.compile("\"text\":\"([^\"]*)\"");
+
+    private final Deployment deployment = new Deployment();
+
+    @AfterEach
+    void close() {
+        deployment.close();
+    }
+
+    @Nested
+    final class Links {
+        @Test
+        void aStreamGoesOnOverANewLink() {
+            CompletableFuture<HttpResponse<String>> answer = deployment.stream("p", 100);
+            deployment.await(() -> deployment.engine.running() == 1);
+            deployment.engineLinks.cut();
+            assertWhole(answer.join(), "p", 100);
+            assertThat(deployment.engine.started()).isEqualTo(1);
+        }
+
+        @Test
+        void aBookingLostAfterDispatchIsAnsweredAndRunsOnce() {
+            CompletableFuture<HttpResponse<String>> answer = deployment.book("{}", "");
+            deployment.await(() -> deployment.service.ledger().size() == 1);
+            deployment.serviceLinks.cut();
+            assertThat(answer.join().statusCode()).isEqualTo(200);
+            assertThat(outcome(answer.join())).isEqualTo("complete");
+            assertThat(deployment.service.ledger()).hasSize(1);
+        }
+    }
+
+    @Nested
+    final class Restarts {
+        @Test
+        void aBookingWhoseAgentRestartsIsUnknownAndRunsOnce() {
+            CompletableFuture<HttpResponse<String>> answer = deployment.book("{}", "");
+            deployment.await(() -> deployment.service.ledger().size() == 1);
+            deployment.restartServiceAgent();
+            assertThat(outcome(answer.join())).isEqualTo("unknown");
+            assertThat(deployment.service.ledger()).hasSize(1);
+        }
+
+        @Test
+        void aStreamWhoseAgentDiesEndsWithAnExplicitFailure() {
+            CompletableFuture<HttpResponse<String>> answer = deployment.stream("p", 200);
+            deployment.await(() -> deployment.engine.running() == 1);
+            deployment.killEngineAgent();
+            Throwable aborted = catchThrowable(answer::join);
+            if (aborted == null) {
+                assertThat(answer.join().body()).doesNotContain("[DONE]").contains("\"error\"");
+            }
+        }
+    }
+
+    @Nested
+    final class Callers {
+        @Test
+        void oneWhoLeavesCancelsTheEngine() throws Exception {
+            String body = "{\"model\":\"model\",\"prompt\":\"p\",\"stream\":true,\"max_tokens\":2000}";
+            HttpResponse<InputStream> response = deployment.client.send(
+                    deployment.request("/v1/completions", body).build(), HttpResponse.BodyHandlers.ofInputStream());
+            response.body().close();
+            deployment.await(() -> deployment.engine.cancelled() == 1);
+        }
+
+        @Test
+        void oneWhoDoesNotReadHoldsUpNobodyElse() throws Exception {
+            String body = "{\"model\":\"model\",\"prompt\":\"p\",\"stream\":true,\"max_tokens\":300}";
+            HttpResponse<InputStream> slow = deployment.client.send(
+                    deployment.request("/v1/completions", body).build(), HttpResponse.BodyHandlers.ofInputStream());
+            assertWhole(deployment.stream("q", 20).join(), "q", 20);
+            String text = new String(slow.body().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(text(text)).isEqualTo(String.join("", ExpectedAnswer.tokens("model", "p", 300)));
+        }
+    }
+
+    @Nested
+    final class Keys {
+        @Test
+        void aRepeatGetsTheRecordedAnswer() {
+            HttpResponse<String> first = deployment.book("{}", "key").join();
+            deployment.await(() -> deployment.book("{}", "key").join().statusCode() == 200);
+            assertThat(deployment.book("{}", "key").join().body()).isEqualTo(first.body());
+            assertThat(deployment.book("{\"a\":1}", "key").join().statusCode()).isEqualTo(422);
+            assertThat(deployment.service.ledger()).hasSize(1);
+        }
+
+        @Test
+        void twoAtOnceRunOnce() {
+            CompletableFuture<HttpResponse<String>> first = deployment.book("{}", "key");
+            CompletableFuture<HttpResponse<String>> second = deployment.book("{}", "key");
+            List<Integer> codes =
+                    List.of(first.join().statusCode(), second.join().statusCode());
+            assertThat(codes).containsExactlyInAnyOrder(200, 409);
+            assertThat(deployment.service.ledger()).hasSize(1);
+        }
+
+        @Test
+        void withoutTheStoreNothingRuns() {
+            deployment
+                    .platform
+                    .close()
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .join();
+            HttpResponse<String> refused = deployment.book("{}", "key").join();
+            assertThat(outcome(refused)).isEqualTo("not-run");
+            assertThat(refused.headers().firstValue("Retry-After")).isPresent();
+            assertThat(deployment.service.ledger()).isEmpty();
+        }
+    }
+
+    @Nested
+    final class Draining {
+        @Test
+        void anAgentFinishesWhatRunsAndRefusesTheRest() {
+            CompletableFuture<HttpResponse<String>> running = deployment.stream("p", 100);
+            deployment.await(() -> deployment.engine.running() == 1);
+            CompletableFuture<Void> drained = deployment.engineAgent.drain();
+            HttpResponse<String> refused = deployment.stream("q", 1).join();
+            assertThat(outcome(refused)).isEqualTo("not-run");
+            assertWhole(running.join(), "p", 100);
+            drained.join();
+            assertThat(deployment.engine.started()).isEqualTo(1);
+        }
+
+        @Test
+        void anEntryFinishesWhatRunsAndRefusesTheRest() {
+            CompletableFuture<HttpResponse<String>> running = deployment.stream("p", 100);
+            deployment.await(() -> deployment.engine.running() == 1);
+            CompletableFuture<Void> drained = deployment.entry.drain();
+            HttpResponse<String> refused = deployment.stream("q", 1).join();
+            assertThat(outcome(refused)).isEqualTo("not-run");
+            assertWhole(running.join(), "p", 100);
+            drained.join();
+        }
+
+        @Test
+        void aCutDrainTellsEachCallerLeft() {
+            CompletableFuture<HttpResponse<String>> booking = deployment.book("{}", "");
+            deployment.await(() -> deployment.service.ledger().size() == 1);
+            CompletableFuture<Void> drained = deployment.entry.drain();
+            deployment.entry.cutDrain();
+            assertThat(outcome(booking.join())).isEqualTo("unknown");
+            drained.join();
+        }
+
+        @Test
+        void aLeavingRowAdmitsNothingAndFinishesWhatRuns() {
+            CompletableFuture<HttpResponse<String>> running = deployment.stream("p", 100);
+            deployment.await(() -> deployment.engine.running() == 1);
+            deployment.publish(RowState.LEAVING);
+            assertThat(outcome(deployment.stream("q", 1).join())).isEqualTo("not-run");
+            assertWhole(running.join(), "p", 100);
+        }
+    }
+
+    private static void assertWhole(HttpResponse<String> response, String prompt, int tokens) {
+        assertThat(text(response.body())).isEqualTo(String.join("", ExpectedAnswer.tokens("model", prompt, tokens)));
+        assertThat(response.body()).endsWith("data: [DONE]\n\n");
+    }
+
+    private static String text(String events) {
+        StringBuilder text = new StringBuilder();
+        Matcher matcher = TEXT.matcher(events);
+        while (matcher.find()) {
+            text.append(matcher.group(1));
+        }
+        return text.toString();
+    }
+
+    private static String outcome(HttpResponse<String> response) {
+        return response.headers().firstValue("Firwheel-Outcome").orElse("absent");
+    }
+}
