--- /dev/null
+++ b/peers/src/main/java/firwheel/peers/DialPlan.java
@@ -0,0 +1,89 @@
+package firwheel.peers;
+
+import firwheel.model.TableSnapshot;
+import firwheel.platform.HostList.HostEntry;
+import firwheel.table.Peer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Decides which processes an entry keeps links to: the entries of its zone, one entry of each other zone, and the agents
+ * of its zone. Of two entries of a zone the one with the smaller address connects.
+ */
+final class DialPlan {
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+    private static final String ENTRY = "entry";
+
+    private final Peer self;
+    private final int linkPort;
+    private List<HostEntry> entries = List.of();
+    private List<HostEntry> agents = List.of();
+    private Set<String> wanted = Set.of();
+
+    DialPlan(Peer self, int linkPort) {
+        this.self = self;
+        this.linkPort = linkPort;
+    }
+
+    void onHostList(List<HostEntry> hosts) {
+        entries = hosts.stream()
+                .filter(host -> host.role().equals(ENTRY))
+                .map(this::withPort)
+                .filter(host -> !host.ip().equals(self.address()))
+                .toList();
+        refresh();
+    }
+
+    void onTable(TableSnapshot table) {
+        agents = table.rows().stream()
+                .filter(row -> row.availabilityZone().equals(self.availabilityZone()))
+                .flatMap(row -> row.hosts().stream()
+                        .map(host -> new HostEntry(host.endpoint(), row.availabilityZone(), "agent", false)))
+                .toList();
+        refresh();
+    }
+
+    /** Returns all hosts that the list and the table name. */
+    List<HostEntry> known() {
+        List<HostEntry> known = new ArrayList<>(entries);
+        known.addAll(agents);
+        return known;
+    }
+
+    /** Returns whether this entry is to connect to {@code address}. */
+    boolean wants(String address) {
+        return wanted.contains(address);
+    }
+
+    private void refresh() {
+        Set<String> addresses = new HashSet<>();
+        agents.forEach(agent -> addresses.add(agent.ip()));
+        entries.stream()
+                .filter(this::ownZone)
+                .filter(entry -> self.address().compareTo(entry.ip()) < 0)
+                .forEach(entry -> addresses.add(entry.ip()));
+        Map<String, List<HostEntry>> otherZones = entries.stream()
+                .filter(entry -> !ownZone(entry))
+                .collect(Collectors.groupingBy(HostEntry::availabilityZone));
+        otherZones.values().forEach(zone -> zone.stream()
+                .min(Comparator.comparingLong(entry -> HASH.hashChars(self.address() + "|" + entry.ip())))
+                .ifPresent(entry -> addresses.add(entry.ip())));
+        wanted = addresses;
+    }
+
+    private boolean ownZone(HostEntry entry) {
+        return entry.availabilityZone().equals(self.availabilityZone());
+    }
+
+    private HostEntry withPort(HostEntry host) {
+        boolean hasPort = host.ip().matches("[0-9.]+:[0-9]+");
+        String address = hasPort ? host.ip() : host.ip() + ":" + linkPort;
+        return new HostEntry(address, host.availabilityZone(), host.role(), host.leaving());
+    }
+}
--- /dev/null
+++ b/peers/src/main/java/firwheel/peers/TableLinks.java
@@ -0,0 +1,295 @@
+package firwheel.peers;
+
+import firwheel.model.EventCode;
+import firwheel.model.Events;
+import firwheel.model.FirwheelException;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TimeSource;
+import firwheel.platform.Delay;
+import firwheel.platform.HostList;
+import firwheel.platform.ResilientTableService;
+import firwheel.platform.TableService;
+import firwheel.table.Outgoing;
+import firwheel.table.Peer;
+import firwheel.table.TableMessage;
+import firwheel.table.TableNode;
+import firwheel.wire.Link;
+import firwheel.wire.LinkEndpoint;
+import firwheel.wire.LinkIdentity;
+import firwheel.wire.Message;
+import firwheel.wire.TableFrame;
+import io.vertx.core.Context;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the table of a process up to date over its links. Links and their bookkeeping belong to the event loop, the
+ * table node to the control thread.
+ */
+public final class TableLinks implements Supplier<TableSnapshot> {
+    private static final Logger LOGGER = LoggerFactory.getLogger(TableLinks.class);
+    private static final Duration DIAL_ROUND = Duration.ofMillis(500);
+    private static final Duration HOST_LIST_INTERVAL = Duration.ofSeconds(15);
+    private static final Duration HOST_LIST_INTERVAL_ALONE = Duration.ofSeconds(3);
+
+    private final Context context;
+    private final LinkEndpoint endpoint;
+    private final Executor control;
+    private final Delay delay = Delay.system();
+    private final Random random;
+    private final @Nullable HostList hostList;
+    private final Dialer agentDialer;
+    private final TableMessageCodec codec = new TableMessageCodec();
+    private final Peer self;
+    private final TableNode node;
+    private final DialPlan plan;
+    private final AtomicLong sentBytes = new AtomicLong();
+    private volatile TableSnapshot inForce = TableSnapshot.EMPTY;
+    private volatile boolean closed;
+
+    /** Owned by the event loop. */
+    private final Map<Peer, List<Link>> links = new HashMap<>();
+
+    /** Revision that each link's peer was last told, owned by the event loop. */
+    private final Map<Link, Long> announced = new HashMap<>();
+
+    /** Owned by the control thread. */
+    private final Set<String> dialling = new HashSet<>();
+
+    /** Opens a link whose owner passes table messages on to {@link #handle}. */
+    @FunctionalInterface
+    public interface Dialer {
+        /** Opens a link; called on the event loop. */
+        CompletableFuture<?> dial(String ip, int port);
+    }
+
+    /**
+     * Where the table comes from.
+     *
+     * @param service platform's table service; null for agents
+     * @param hostList platform's host list; null for agents
+     * @param linkPort port of listed hosts whose address names none
+     */
+    public record Sources(@Nullable TableService service, @Nullable HostList hostList, int linkPort) {
+        /** Sources of an agent, which learns from entries only. */
+        public static final Sources OF_AGENT = new Sources(null, null, 0);
+    }
+
+    /** Creates the table of a process; {@code agentDialer} opens links to agents, for entries. */
+    public TableLinks(
+            Context context,
+            LinkEndpoint endpoint,
+            Executor control,
+            Sources sources,
+            Dialer agentDialer,
+            Random random) {
+        this.context = context;
+        this.endpoint = endpoint;
+        this.control = control;
+        this.random = random;
+        this.hostList = sources.hostList();
+        this.agentDialer = agentDialer;
+        this.self = peer(endpoint.self());
+        this.plan = new DialPlan(self, sources.linkPort());
+        TimeSource time = TimeSource.system();
+        TableService service = sources.service();
+        TableService limited = service == null
+                ? null
+                : new ResilientTableService(
+                        service, time, delay, random::nextDouble, ResilientTableService.Limits.POLLING);
+        TableNode.Ports ports = new TableNode.Ports(time, delay, control, this::send, this::adopt);
+        this.node = new TableNode(self, limited, ports, random);
+    }
+
+    /** Starts polls, rounds and dialling. */
+    public void start() {
+        control.execute(() -> {
+            node.start();
+            if (hostList != null) {
+                readHostList(hostList);
+                dialRound();
+            }
+        });
+    }
+
+    /** Ends all activity; links stay with their owners. */
+    public void close() {
+        closed = true;
+        control.execute(node::stop);
+    }
+
+    /** Returns the table in force; the empty table while there is none to serve by. */
+    @Override
+    public TableSnapshot get() {
+        return inForce;
+    }
+
+    /** Returns the bytes of table messages sent so far. */
+    public long sentBytes() {
+        return sentBytes.get();
+    }
+
+    /** Takes over a link that only carries table messages. Event loop only. */
+    public void adopt(Link link) {
+        link.onMessage(message -> handle(link, message));
+        attach(link);
+        link.onClose(() -> detach(link));
+    }
+
+    /** Takes note of a link that its owner keeps. Event loop only. */
+    public void attach(Link link) {
+        Peer peer = peer(link);
+        boolean first = links.computeIfAbsent(peer, key -> new ArrayList<>()).isEmpty();
+        links.getOrDefault(peer, List.of()).add(link);
+        if (first) {
+            Events.log(LOGGER, EventCode.LINK_UP, "peer", peer.address());
+            control.execute(() -> node.onLinkUp(peer));
+        }
+    }
+
+    /** Takes note that a link is gone. Event loop only. */
+    public void detach(Link link) {
+        announced.remove(link);
+        Peer peer = peer(link);
+        List<Link> open = links.getOrDefault(peer, new ArrayList<>());
+        if (open.remove(link) && open.isEmpty()) {
+            links.remove(peer);
+            Events.log(LOGGER, EventCode.LINK_DOWN, "peer", peer.address());
+            control.execute(() -> node.onLinkDown(peer));
+        }
+    }
+
+    /** Handles a message if it is about the table; returns whether it was. Event loop only. */
+    public boolean handle(Link link, Message message) {
+        if (!(message instanceof TableFrame frame)) {
+            return false;
+        }
+        try {
+            TableMessage content = codec.decode(frame);
+            Peer peer = peer(link);
+            control.execute(() -> node.onMessage(peer, content));
+        } catch (FirwheelException e) {
+            Events.log(LOGGER, EventCode.LINK_REFUSED, "peer", link.peer().host(), "reason", e.getMessage());
+            link.close();
+        }
+        return true;
+    }
+
+    /**
+     * Tells the peer of a link the revision in force here, once for each revision. Called before each request, so that
+     * every request is preceded by the revision that it was routed by. Event loop only.
+     */
+    public void announce(Link link) {
+        long revision = node.holder().held().revision();
+        Long told = announced.put(link, revision);
+        if (told == null || told != revision) {
+            TableFrame frame = codec.encode(node.announcement());
+            sentBytes.addAndGet(frame.content().length);
+            link.send(frame);
+        }
+    }
+
+    private void adopt(TableSnapshot table) {
+        inForce = table;
+        plan.onTable(table);
+    }
+
+    private void send(Outgoing outgoing) {
+        TableFrame frame = codec.encode(outgoing.message());
+        context.runOnContext(ignored -> {
+            List<Link> open = links.getOrDefault(outgoing.to(), List.of());
+            if (!open.isEmpty()) {
+                sentBytes.addAndGet(frame.content().length);
+                open.get(0).send(frame);
+            }
+        });
+    }
+
+    private void readHostList(HostList list) {
+        if (closed) {
+            return;
+        }
+        var unused = list.hosts()
+                .whenCompleteAsync(
+                        (hosts, error) -> {
+                            if (error == null) {
+                                plan.onHostList(hosts);
+                            }
+                            boolean alone = node.membership().linked().isEmpty();
+                            Duration wait = alone ? HOST_LIST_INTERVAL_ALONE : HOST_LIST_INTERVAL;
+                            later(jittered(wait), () -> readHostList(list));
+                        },
+                        control);
+    }
+
+    private void dialRound() {
+        if (closed) {
+            return;
+        }
+        node.membership().onHostList(plan.known());
+        node.membership().toDial().stream()
+                .filter(plan::wants)
+                .filter(dialling::add)
+                .forEach(this::dial);
+        later(jittered(DIAL_ROUND), this::dialRound);
+    }
+
+    private void dial(String address) {
+        int colon = address.lastIndexOf(':');
+        String ip = address.substring(0, colon);
+        int port = Integer.parseInt(address.substring(colon + 1));
+        boolean agent = plan.known().stream()
+                .anyMatch(host -> host.ip().equals(address) && host.role().equals("agent"));
+        context.runOnContext(ignored -> {
+            CompletableFuture<?> opened = agent
+                    ? agentDialer.dial(ip, port)
+                    : endpoint.connect(ip, port).thenAccept(this::adopt);
+            var unused = opened.whenCompleteAsync((link, error) -> onDialled(address, error), control);
+        });
+    }
+
+    private void onDialled(String address, @Nullable Throwable error) {
+        dialling.remove(address);
+        if (error != null) {
+            node.membership().onDialFailed(address);
+        }
+    }
+
+    private Duration jittered(Duration mean) {
+        return Duration.ofNanos((long) (mean.toNanos() * (0.8 + 0.4 * random.nextDouble())));
+    }
+
+    private void later(Duration wait, Runnable work) {
+        var unused = delay.after(wait).thenRunAsync(work, control);
+    }
+
+    private static Peer peer(Link link) {
+        return new Peer(
+                link.peer().host(),
+                link.peer().availabilityZone(),
+                role(link.peer().role()),
+                link.peer().incarnation());
+    }
+
+    private static Peer peer(LinkIdentity identity) {
+        return new Peer(identity.host(), identity.availabilityZone(), role(identity.role()), identity.incarnation());
+    }
+
+    private static Peer.Role role(String name) {
+        return name.toUpperCase(Locale.ROOT).equals("ENTRY") ? Peer.Role.ENTRY : Peer.Role.AGENT;
+    }
+}
--- /dev/null
+++ b/peers/src/test/java/firwheel/peers/TableLinksTest.java
@@ -0,0 +1,146 @@
+package firwheel.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firwheel.model.RankAddress;
+import firwheel.model.RowState;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import firwheel.model.TimeSource;
+import firwheel.platform.Delay;
+import firwheel.platform.HostList.HostEntry;
+import firwheel.standin.InMemoryTableService;
+import firwheel.table.RevisionPatch;
+import firwheel.table.RowPatch;
+import firwheel.table.TableColumn;
+import firwheel.table.TableCommitter;
+import firwheel.table.TableMessage;
+import firwheel.table.TableReader;
+import firwheel.wire.LinkEndpoint;
+import firwheel.wire.LinkIdentity;
+import firwheel.wire.SharedKey;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class TableLinksTest {
+    private static final int LINK_PORT = 7_411;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final InMemoryTableService store = new InMemoryTableService();
+    private final List<HostEntry> listed = new ArrayList<>();
+    private final List<TableLinks> nodes = new ArrayList<>();
+
+    @AfterEach
+    void stop() {
+        nodes.forEach(TableLinks::close);
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private static TargetRow row(double weight) {
+        List<RankAddress> hosts = List.of(new RankAddress(0, "127.0.41.9", LINK_PORT));
+        return new TargetRow(
+                "a",
+                TargetKind.MODEL,
+                List.of("m"),
+                "z",
+                RowState.SERVING,
+                weight,
+                1,
+                0,
+                1,
+                true,
+                hosts,
+                false,
+                false,
+                1,
+                1);
+    }
+
+    private TableLinks start(String ip, String role) {
+        Context context = vertx.getOrCreateContext();
+        CompletableFuture<TableLinks> started = new CompletableFuture<>();
+        context.runOnContext(ignored -> {
+            LinkIdentity self = new LinkIdentity(ip + ":" + LINK_PORT, "z", role, ip.hashCode());
+            LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey("k"), self);
+            TableLinks.Sources sources = role.equals("agent")
+                    ? TableLinks.Sources.OF_AGENT
+                    : new TableLinks.Sources(
+                            store, () -> CompletableFuture.completedFuture(List.copyOf(listed)), LINK_PORT);
+            TableLinks[] node = new TableLinks[1];
+            node[0] = new TableLinks(
+                    context,
+                    endpoint,
+                    ControlThread.start(),
+                    sources,
+                    (target, port) -> endpoint.connect(target, port).thenAccept(link -> node[0].adopt(link)),
+                    new Random(1));
+            var unused = endpoint.listen(ip, LINK_PORT, link -> node[0].adopt(link))
+                    .thenAccept(server -> {
+                        node[0].start();
+                        started.complete(node[0]);
+                    });
+        });
+        TableLinks node = started.orTimeout(10, TimeUnit.SECONDS).join();
+        nodes.add(node);
+        return node;
+    }
+
+    private long apply(double weight) {
+        TableSnapshot base = new TableReader(store).read().join();
+        return new TableCommitter(store, TimeSource.system(), Delay.system())
+                .apply(base, new TableSnapshot(base.revision(), List.of(row(weight))), "op", "x", "c" + weight)
+                .join()
+                .revision();
+    }
+
+    private static void awaitRevision(TableLinks node, long revision) {
+        CompletableFuture<Void> reached = new CompletableFuture<>();
+        poll(node, revision, reached);
+        reached.orTimeout(20, TimeUnit.SECONDS).join();
+    }
+
+    private static void poll(TableLinks node, long revision, CompletableFuture<Void> reached) {
+        if (node.get().revision() >= revision) {
+            reached.complete(null);
+        } else if (!reached.isDone()) {
+            var unused = Delay.system().after(Duration.ofMillis(10)).thenRun(() -> poll(node, revision, reached));
+        }
+    }
+
+    @Test
+    void changeReachesEntriesAndAgentsOverSockets() {
+        listed.add(new HostEntry("127.0.41.1", "z", "entry", false));
+        listed.add(new HostEntry("127.0.41.2", "z", "entry", false));
+        apply(1);
+        start("127.0.41.1", "entry");
+        start("127.0.41.2", "entry");
+        start("127.0.41.9", "agent");
+        nodes.forEach(node -> awaitRevision(node, 1));
+        long revision = apply(2);
+        nodes.forEach(node -> awaitRevision(node, revision));
+        nodes.forEach(node -> assertThat(node.get().rows()).containsExactly(row(2)));
+    }
+
+    @Test
+    void messagesKeepTheirContentOnTheWire() {
+        TableMessageCodec codec = new TableMessageCodec();
+        RowPatch patch = new RowPatch("a", false, List.of(new RowPatch.FieldText(TableColumn.WEIGHT, "3")));
+        List<TableMessage> messages = List.of(
+                new TableMessage.Announce(7, -1),
+                new TableMessage.Pull(3),
+                new TableMessage.Patches(List.of(new RevisionPatch(8, 5, List.of(patch))), 9),
+                new TableMessage.PullPage(7, 2),
+                new TableMessage.SnapshotPage(7, 5, 0, 1, List.of(row(1))));
+        assertThat(messages).allSatisfy(message -> assertThat(codec.decode(codec.encode(message)))
+                .isEqualTo(message));
+    }
+}
--- a/table/src/main/java/firwheel/table/TableMessage.java
+++ b/table/src/main/java/firwheel/table/TableMessage.java
@@ -1,19 +1,9 @@
 package firwheel.table;
 
-import com.fasterxml.jackson.annotation.JsonSubTypes;
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import firwheel.model.TargetRow;
 import java.util.List;
 
 /** Messages between processes about the table. Each is bounded by {@link #MAX_BYTES}, unless one row alone is larger. */
-@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
-@JsonSubTypes({
-    @JsonSubTypes.Type(value = TableMessage.Announce.class, name = "a"),
-    @JsonSubTypes.Type(value = TableMessage.Pull.class, name = "p"),
-    @JsonSubTypes.Type(value = TableMessage.Patches.class, name = "d"),
-    @JsonSubTypes.Type(value = TableMessage.PullPage.class, name = "q"),
-    @JsonSubTypes.Type(value = TableMessage.SnapshotPage.class, name = "s")
-})
 public sealed interface TableMessage {
     /** Approximate upper bound of a message in bytes. */
     int MAX_BYTES = 48 * 1024;
--- a/table/src/main/java/firwheel/table/TableNode.java
+++ b/table/src/main/java/firwheel/table/TableNode.java
@@ -108,6 +108,11 @@
         return holder.held().revision() > 0 && (waited || (platformAnswered && peerAnswered));
     }
 
+    /** Returns the announcement of what is in force here; safe to call from any thread. */
+    public TableMessage announcement() {
+        return gossip.announcement();
+    }
+
     /** Takes a new link. */
     public void onLinkUp(Peer peer) {
         membership.onLinkUp(peer);
--- a/wire/src/main/java/firwheel/wire/MessageType.java
+++ b/wire/src/main/java/firwheel/wire/MessageType.java
@@ -21,7 +21,8 @@
     FENCE_RESULT(19, AttemptMessage.FenceResult.class),
     RESUME(20, AttemptMessage.Resume.class),
     PROBE(30, LoadMessage.Probe.class),
-    LOAD_REPORT(31, LoadMessage.Report.class);
+    LOAD_REPORT(31, LoadMessage.Report.class),
+    TABLE(40, TableFrame.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
