Entries and agents get the table over links

Cause: the thin path polled the whole table from every process. Change: module peers carries the table protocol over links; entries link to the entries of their zone, one entry of each other zone and the agents of their zone; agents learn from entries only. A link tells its peer the revision in force before the first request that was routed by it. Setting linkPort.

--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -9,6 +9,9 @@
 import firwheel.model.TableSnapshot;
 import firwheel.model.TargetKind;
 import firwheel.model.TargetRow;
+import firwheel.peers.ControlThread;
+import firwheel.peers.DeferredTable;
+import firwheel.peers.TableLinks;
 import firwheel.platform.EventLoops;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
@@ -29,6 +32,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -57,6 +61,7 @@
             .labelNames("result")
             .register(registry);
     private final HttpClient targetClient;
+    private @Nullable TableLinks tables;
     private @Nullable NetServer linkServer;
     private @Nullable HttpServer adminServer;
     private boolean draining;
@@ -81,6 +86,26 @@
         });
     }
 
+    /** Starts an agent that learns the table from the entries that link to it. */
+    public static CompletableFuture<AgentServer> start(Vertx vertx, AgentSettings settings) {
+        return EventLoops.start(vertx, () -> {
+            DeferredTable table = new DeferredTable();
+            AgentServer agent = new AgentServer(vertx, settings, table);
+            LinkEndpoint endpoint = agent.endpoint();
+            TableLinks tables = new TableLinks(
+                    agent.context,
+                    endpoint,
+                    ControlThread.start(),
+                    TableLinks.Sources.OF_AGENT,
+                    endpoint::connect,
+                    new Random());
+            table.set(tables);
+            agent.tables = tables;
+            tables.start();
+            return agent.listen().thenApply(done -> agent);
+        });
+    }
+
     /** Returns the TCP port of the links. */
     public int port() {
         return linkServer == null ? settings.port() : linkServer.actualPort();
@@ -104,12 +129,16 @@
         return done;
     }
 
-    private CompletableFuture<?> listen() {
+    private LinkEndpoint endpoint() {
         LinkIdentity identity = new LinkIdentity(
                 settings.ip() + ":" + settings.port(), settings.availabilityZone(), "agent", incarnation);
-        LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
+        return new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
+    }
+
+    private CompletableFuture<?> listen() {
         AdminServer admin = new AdminServer(registry, this::ready, this::status);
-        return endpoint.listen(settings.ip(), settings.port(), this::onLink)
+        return endpoint()
+                .listen(settings.ip(), settings.port(), this::onLink)
                 .thenCompose(server -> {
                     linkServer = server;
                     return admin.listen(vertx, settings.ip(), settings.adminPort());
@@ -137,6 +166,11 @@
 
     private void onLink(Link link) {
         link.onMessage(message -> onMessage(link, message));
+        TableLinks carried = tables;
+        if (carried != null) {
+            carried.attach(link);
+            link.onClose(() -> carried.detach(link));
+        }
     }
 
     private void onMessage(Link link, Message message) {
@@ -154,6 +188,8 @@
             }
         } else if (message instanceof LoadMessage.Probe probe) {
             link.send(report(probe.probeId()));
+        } else if (tables != null) {
+            tables.handle(link, message);
         }
     }
 
--- a/cli/src/main/java/firwheel/cli/AgentCommand.java
+++ b/cli/src/main/java/firwheel/cli/AgentCommand.java
@@ -16,8 +16,7 @@
     public ExitCode run() {
         AgentSettings settings = SettingsFile.read(settingsFile, AgentSettings.class);
         Vertx vertx = Vertx.vertx();
-        AgentServer agent = AgentServer.start(vertx, settings, RunningTable.follow(vertx, settings.platformUrl()))
-                .join();
+        AgentServer agent = AgentServer.start(vertx, settings).join();
         System.out.println("ready agent=" + settings.ip() + ":" + agent.port());
         return Shutdown.awaitSignal(agent::drain, Duration.ofMillis(settings.drainLimitMillis()));
     }
--- a/cli/src/main/java/firwheel/cli/Demo.java
+++ b/cli/src/main/java/firwheel/cli/Demo.java
@@ -158,7 +158,8 @@
                 SHARED_KEY,
                 MAX_BODY_BYTES,
                 BODY_TIMEOUT_MILLIS,
-                options.drainLimit().toMillis());
+                options.drainLimit().toMillis(),
+                0);
         return EntryServer.start(vertx, settings, table, Routing.defaultPolicy())
                 .join();
     }
--- a/cli/src/main/java/firwheel/cli/EntryCommand.java
+++ b/cli/src/main/java/firwheel/cli/EntryCommand.java
@@ -17,7 +17,7 @@
         EntrySettings settings = SettingsFile.read(settingsFile, EntrySettings.class);
         Vertx vertx = Vertx.vertx();
         EntryServer entry = EntryServer.start(
-                        vertx, settings, RunningTable.follow(vertx, settings.platformUrl()), Routing.defaultPolicy())
+                        vertx, settings, RunningTable.sources(vertx, settings), Routing.defaultPolicy())
                 .join();
         System.out.println("ready entry=http://" + settings.ip() + ":" + entry.port());
         return Shutdown.awaitSignal(entry::drain, Duration.ofMillis(settings.drainLimitMillis()));
--- a/cli/src/main/java/firwheel/cli/RunningTable.java
+++ b/cli/src/main/java/firwheel/cli/RunningTable.java
@@ -1,5 +1,7 @@
 package firwheel.cli;
 
+import firwheel.entry.EntrySettings;
+import firwheel.peers.TableLinks;
 import firwheel.platform.HttpPlatform;
 import firwheel.table.TableFollower;
 import firwheel.table.TableReader;
@@ -16,6 +18,12 @@
 
     private RunningTable() {}
 
+    /** Returns where an entry gets its table from. */
+    static TableLinks.Sources sources(Vertx vertx, EntrySettings settings) {
+        HttpPlatform platform = new HttpPlatform(vertx, URI.create(settings.platformUrl()), PLATFORM_TIMEOUT);
+        return new TableLinks.Sources(platform, platform, settings.linkPort());
+    }
+
     static TableFollower follow(Vertx vertx, String platformUrl) {
         HttpPlatform platform = new HttpPlatform(vertx, URI.create(platformUrl), PLATFORM_TIMEOUT);
         return new TableFollower(new TableReader(platform), Schedulers.single(), POLL_INTERVAL);
--- a/entry/src/main/java/firwheel/entry/AgentLink.java
+++ b/entry/src/main/java/firwheel/entry/AgentLink.java
@@ -1,6 +1,7 @@
 package firwheel.entry;
 
 import firwheel.model.AttemptId;
+import firwheel.peers.TableLinks;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
 import firwheel.wire.LoadMessage;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /** A link to one agent, shared by all attempts of this entry at that agent. Used on the entry's event loop only. */
 final class AgentLink {
@@ -25,12 +27,17 @@
     private final Map<AttemptId, Listener> listeners = new HashMap<>();
     private final Consumer<LoadMessage.Report> onReport;
     private final Runnable onForeign;
+    private final @Nullable TableLinks tables;
 
-    AgentLink(Link link, Consumer<LoadMessage.Report> onReport, Runnable onForeign) {
+    AgentLink(Link link, Consumer<LoadMessage.Report> onReport, Runnable onForeign, @Nullable TableLinks tables) {
         this.link = link;
         this.onReport = onReport;
         this.onForeign = onForeign;
+        this.tables = tables;
         link.onMessage(this::onMessage);
+        if (tables != null) {
+            tables.attach(link);
+        }
         link.onClose(this::onClosed);
     }
 
@@ -46,6 +53,9 @@
     /** Registers the attempt and sends its dispatch. */
     void dispatch(AttemptMessage.Dispatch dispatch, Listener listener) {
         listeners.put(dispatch.attempt(), listener);
+        if (tables != null) {
+            tables.announce(link);
+        }
         link.send(dispatch);
     }
 
@@ -69,10 +79,15 @@
             }
         } else if (message instanceof LoadMessage.Report report) {
             onReport.accept(report);
+        } else if (tables != null) {
+            tables.handle(link, message);
         }
     }
 
     private void onClosed() {
+        if (tables != null) {
+            tables.detach(link);
+        }
         List<Listener> open = List.copyOf(listeners.values());
         listeners.clear();
         open.forEach(Listener::onLinkLost);
--- a/entry/src/main/java/firwheel/entry/AgentLinks.java
+++ b/entry/src/main/java/firwheel/entry/AgentLinks.java
@@ -1,18 +1,21 @@
 package firwheel.entry;
 
 import firwheel.model.RankAddress;
+import firwheel.peers.TableLinks;
 import firwheel.wire.LinkEndpoint;
 import firwheel.wire.LoadMessage;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /** Links to agents, opened on first use and kept. Used on the entry's event loop only. */
 final class AgentLinks {
     private final LinkEndpoint endpoint;
     private final Consumer<LoadMessage.Report> onReport;
     private final Runnable onForeign;
+    private @Nullable TableLinks tables;
     private final Map<String, CompletableFuture<AgentLink>> links = new HashMap<>();
 
     AgentLinks(LinkEndpoint endpoint, Consumer<LoadMessage.Report> onReport, Runnable onForeign) {
@@ -21,6 +24,15 @@
         this.onForeign = onForeign;
     }
 
+    LinkEndpoint endpoint() {
+        return endpoint;
+    }
+
+    /** Sets what keeps the table up to date over the links; call it before the first link. */
+    void carryTables(TableLinks tableLinks) {
+        tables = tableLinks;
+    }
+
     /** Returns the link to the agent at {@code address}; fails when it cannot be reached. */
     CompletableFuture<AgentLink> link(RankAddress address) {
         CompletableFuture<AgentLink> present = links.get(address.endpoint());
@@ -28,7 +40,7 @@
             return present;
         }
         CompletableFuture<AgentLink> opened = endpoint.connect(address.ip(), address.port())
-                .thenApply(link -> new AgentLink(link, onReport, onForeign));
+                .thenApply(link -> new AgentLink(link, onReport, onForeign, tables));
         links.put(address.endpoint(), opened);
         return opened;
     }
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -4,10 +4,14 @@
 import firwheel.model.EventCode;
 import firwheel.model.Events;
 import firwheel.model.FirwheelException;
+import firwheel.model.RankAddress;
 import firwheel.model.RankKey;
 import firwheel.model.ResultCode;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
+import firwheel.peers.ControlThread;
+import firwheel.peers.DeferredTable;
+import firwheel.peers.TableLinks;
 import firwheel.platform.EventLoops;
 import firwheel.routing.RankLoad;
 import firwheel.routing.RoutingPolicy;
@@ -20,6 +24,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import java.util.HashSet;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -67,6 +72,38 @@
         });
     }
 
+    /** Starts an entry that keeps its table up to date by the platform and its peers. */
+    public static CompletableFuture<EntryServer> start(
+            Vertx vertx, EntrySettings settings, TableLinks.Sources sources, RoutingPolicy policy) {
+        return EventLoops.start(vertx, () -> {
+            DeferredTable table = new DeferredTable();
+            EntryServer entry = new EntryServer(vertx, settings, table, policy);
+            return entry.listen().thenCompose(done -> entry.joinPeers(sources)).thenApply(tables -> {
+                table.set(tables);
+                return entry;
+            });
+        });
+    }
+
+    private CompletableFuture<TableLinks> joinPeers(TableLinks.Sources sources) {
+        AgentLinks agentLinks = links();
+        TableLinks tables = new TableLinks(
+                context,
+                agentLinks.endpoint(),
+                ControlThread.start(),
+                sources,
+                (ip, port) -> agentLinks.link(new RankAddress(0, ip, port)),
+                new Random());
+        agentLinks.carryTables(tables);
+        tables.start();
+        return settings.linkPort() == 0
+                ? CompletableFuture.completedFuture(tables)
+                : agentLinks
+                        .endpoint()
+                        .listen(settings.ip(), settings.linkPort(), tables::adopt)
+                        .thenApply(server -> tables);
+    }
+
     /** Returns the port for callers. */
     public int port() {
         return callerServer == null ? settings.port() : callerServer.actualPort();
@@ -91,8 +128,8 @@
     }
 
     private CompletableFuture<?> listen() {
-        LinkIdentity identity = new LinkIdentity(
-                settings.ip() + ":" + settings.port(), settings.availabilityZone(), "entry", incarnation);
+        LinkIdentity identity =
+                new LinkIdentity(settings.ip() + ":" + linkPort(), settings.availabilityZone(), "entry", incarnation);
         LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
         links = new AgentLinks(endpoint, report -> {}, metrics::countForeignFrame);
         CallerHandler handler = new CallerHandler(vertx, settings, table, this::run, () -> draining, metrics);
@@ -120,16 +157,26 @@
     }
 
     private void run(CallerRequest request, AnswerWriter answer) {
-        if (links == null) {
-            throw new IllegalStateException("not listening");
-        }
+        AgentLinks agentLinks = links();
         RequestRun[] self = new RequestRun[1];
-        RequestRun run = new RequestRun(request, answer, links, policy, view(), time, random, () -> onOver(self[0]));
+        RequestRun run =
+                new RequestRun(request, answer, agentLinks, policy, view(), time, random, () -> onOver(self[0]));
         self[0] = run;
         running.add(run);
         run.start();
     }
 
+    private AgentLinks links() {
+        if (links == null) {
+            throw new IllegalStateException("not listening");
+        }
+        return links;
+    }
+
+    private int linkPort() {
+        return settings.linkPort() == 0 ? settings.port() : settings.linkPort();
+    }
+
     private RoutingView view() {
         TableSnapshot snapshot = table.get();
         long nowNanos = time.monotonicNanos();
--- a/entry/src/main/java/firwheel/entry/EntrySettings.java
+++ b/entry/src/main/java/firwheel/entry/EntrySettings.java
@@ -14,6 +14,7 @@
  * @param maxBodyBytes largest request body
  * @param bodyTimeoutMillis longest time that a caller may take to send its body
  * @param drainLimitMillis longest time that shutdown waits for running requests
+ * @param linkPort TCP port for links from other entries, the same on all entries; 0 for none
  */
 public record EntrySettings(
         String ip,
@@ -24,7 +25,8 @@
         String sharedKey,
         int maxBodyBytes,
         long bodyTimeoutMillis,
-        long drainLimitMillis) {
+        long drainLimitMillis,
+        int linkPort) {
     public EntrySettings {
         Objects.requireNonNull(ip, "ip");
         Objects.requireNonNull(availabilityZone, "availabilityZone");
