--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -19,7 +19,6 @@
 import firwheel.wire.LinkIdentity;
 import firwheel.wire.LoadMessage;
 import firwheel.wire.Message;
-import firwheel.wire.SharedKey;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Context;
@@ -96,7 +95,7 @@
                     agent.context,
                     endpoint,
                     ControlThread.start(),
-                    TableLinks.Sources.OF_AGENT,
+                    TableLinks.Sources.ofAgent(settings.peers()),
                     endpoint::connect,
                     new Random());
             table.set(tables);
@@ -132,7 +131,7 @@
     private LinkEndpoint endpoint() {
         LinkIdentity identity = new LinkIdentity(
                 settings.ip() + ":" + settings.port(), settings.availabilityZone(), "agent", incarnation);
-        return new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
+        return new LinkEndpoint(vertx, settings.linkSecurity(), identity);
     }
 
     private CompletableFuture<?> listen() {
--- a/cli/src/main/java/firwheel/cli/Commands.java
+++ b/cli/src/main/java/firwheel/cli/Commands.java
@@ -26,6 +26,7 @@
             new Entry("status", "Shows the revision that each host has in force.", StatusCommand::new),
             new Entry("demo", "Runs everything in one process, with stand-ins.", DemoCommand::new),
             new Entry("stand-in", "Runs a stand-in: platform, engine or service.", StandInCommand::new),
+            new Entry("check-settings", "Checks a settings file.", CheckSettingsCommand::new),
             new Entry("load", "Offers load to entries and checks every answer.", LoadCommand::new),
             new Entry("version", "Prints the version.", VersionCommand::new));
 
--- a/cli/src/main/java/firwheel/cli/RunningTable.java
+++ b/cli/src/main/java/firwheel/cli/RunningTable.java
@@ -21,7 +21,7 @@
     /** Returns where an entry gets its table from. */
     static TableLinks.Sources sources(Vertx vertx, EntrySettings settings) {
         HttpPlatform platform = new HttpPlatform(vertx, URI.create(settings.platformUrl()), PLATFORM_TIMEOUT);
-        return new TableLinks.Sources(platform, platform, settings.linkPort());
+        return new TableLinks.Sources(platform, platform, settings.linkPort(), settings.peers());
     }
 
     static TableFollower follow(Vertx vertx, String platformUrl) {
--- a/cli/src/test/java/firwheel/cli/DistributedTableTest.java
+++ b/cli/src/test/java/firwheel/cli/DistributedTableTest.java
@@ -43,14 +43,15 @@
                 "http://127.0.0.1:" + platform.listen("127.0.0.1", 0).join().actualPort();
         List<String> admins = new ArrayList<>();
         for (String ip : List.of("127.0.42.1", "127.0.42.2")) {
-            EntrySettings settings = new EntrySettings(ip, 0, 0, "z", url, "k", 1_000, 1_000, 1_000, LINK_PORT);
+            EntrySettings settings =
+                    new EntrySettings(ip, 0, LINK_PORT, 0, "z", url, List.of(), "k", null, 1_000, 1_000, 1_000, 1_000);
             EntryServer entry = EntryServer.start(
                             vertx, settings, RunningTable.sources(vertx, settings), Routing.defaultPolicy())
                     .join();
             admins.add(ip + ":" + entry.adminPort());
         }
-        AgentSettings settings =
-                new AgentSettings("127.0.42.9", AGENT_PORT, 0, "z", "a", 0, "127.0.0.1", 1, url, "k", 1_000);
+        AgentSettings settings = new AgentSettings(
+                "127.0.42.9", AGENT_PORT, 0, "z", "a", 0, "127.0.0.1", 1, url, List.of(), "k", null, 1_000);
         AgentServer agent = AgentServer.start(vertx, settings).join();
         admins.add("127.0.42.9:" + agent.adminPort());
 
--- a/peers/src/main/java/firwheel/peers/DialPlan.java
+++ b/peers/src/main/java/firwheel/peers/DialPlan.java
@@ -22,13 +22,19 @@
 
     private final Peer self;
     private final int linkPort;
+    private final List<HostEntry> seeds;
     private List<HostEntry> entries = List.of();
     private List<HostEntry> agents = List.of();
     private Set<String> wanted = Set.of();
 
-    DialPlan(Peer self, int linkPort) {
+    DialPlan(Peer self, int linkPort, List<String> seedAddresses) {
         this.self = self;
         this.linkPort = linkPort;
+        seeds = seedAddresses.stream()
+                .filter(address -> !address.equals(self.address()))
+                .map(address -> new HostEntry(address, "", ENTRY, false))
+                .toList();
+        refresh();
     }
 
     void onHostList(List<HostEntry> hosts) {
@@ -42,6 +48,7 @@
 
     void onTable(TableSnapshot table) {
         agents = table.rows().stream()
+                .filter(row -> self.role() == Peer.Role.ENTRY)
                 .filter(row -> row.availabilityZone().equals(self.availabilityZone()))
                 .flatMap(row -> row.hosts().stream()
                         .map(host -> new HostEntry(host.endpoint(), row.availabilityZone(), "agent", false)))
@@ -51,7 +58,8 @@
 
     /** Returns all hosts that the list and the table name. */
     List<HostEntry> known() {
-        List<HostEntry> known = new ArrayList<>(entries);
+        List<HostEntry> known = new ArrayList<>(seeds);
+        known.addAll(entries);
         known.addAll(agents);
         return known;
     }
@@ -63,6 +71,7 @@
 
     private void refresh() {
         Set<String> addresses = new HashSet<>();
+        seeds.forEach(seed -> addresses.add(seed.ip()));
         agents.forEach(agent -> addresses.add(agent.ip()));
         entries.stream()
                 .filter(this::ownZone)
--- a/peers/src/main/java/firwheel/peers/TableLinks.java
+++ b/peers/src/main/java/firwheel/peers/TableLinks.java
@@ -83,10 +83,18 @@
      * @param service platform's table service; null for agents
      * @param hostList platform's host list; null for agents
      * @param linkPort port of listed hosts whose address names none
+     * @param seeds link addresses of entries to connect to, whatever the list says
      */
-    public record Sources(@Nullable TableService service, @Nullable HostList hostList, int linkPort) {
-        /** Sources of an agent, which learns from entries only. */
-        public static final Sources OF_AGENT = new Sources(null, null, 0);
+    public record Sources(
+            @Nullable TableService service, @Nullable HostList hostList, int linkPort, List<String> seeds) {
+        public Sources {
+            seeds = List.copyOf(seeds);
+        }
+
+        /** Returns the sources of an agent, which learns from entries only. */
+        public static Sources ofAgent(List<String> seeds) {
+            return new Sources(null, null, 0, seeds);
+        }
     }
 
     /** Creates the table of a process; {@code agentDialer} opens links to agents, for entries. */
@@ -104,7 +112,7 @@
         this.hostList = sources.hostList();
         this.agentDialer = agentDialer;
         this.self = peer(endpoint.self());
-        this.plan = new DialPlan(self, sources.linkPort());
+        this.plan = new DialPlan(self, sources.linkPort(), sources.seeds());
         TimeSource time = TimeSource.system();
         TableService service = sources.service();
         TableService limited = service == null
@@ -121,8 +129,8 @@
             node.start();
             if (hostList != null) {
                 readHostList(hostList);
-                dialRound();
             }
+            dialRound();
         });
     }
 
--- a/peers/src/test/java/firwheel/peers/TableLinksTest.java
+++ b/peers/src/test/java/firwheel/peers/TableLinksTest.java
@@ -19,6 +19,7 @@
 import firwheel.table.TableReader;
 import firwheel.wire.LinkEndpoint;
 import firwheel.wire.LinkIdentity;
+import firwheel.wire.LinkSecurity;
 import firwheel.wire.SharedKey;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -70,11 +71,11 @@
         CompletableFuture<TableLinks> started = new CompletableFuture<>();
         context.runOnContext(ignored -> {
             LinkIdentity self = new LinkIdentity(ip + ":" + LINK_PORT, "z", role, ip.hashCode());
-            LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey("k"), self);
+            LinkEndpoint endpoint = new LinkEndpoint(vertx, new LinkSecurity(new SharedKey("k"), null), self);
             TableLinks.Sources sources = role.equals("agent")
-                    ? TableLinks.Sources.OF_AGENT
+                    ? TableLinks.Sources.ofAgent(List.of())
                     : new TableLinks.Sources(
-                            store, () -> CompletableFuture.completedFuture(List.copyOf(listed)), LINK_PORT);
+                            store, () -> CompletableFuture.completedFuture(List.copyOf(listed)), LINK_PORT, List.of());
             TableLinks[] node = new TableLinks[1];
             node[0] = new TableLinks(
                     context,
