--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/capacity/CapacityPage.java
@@ -0,0 +1,56 @@
+package firwheel.bench.capacity;
+
+import java.util.Locale;
+
+/** Writes the tables of the capacity page. */
+public final class CapacityPage {
+    private static final double SMALL = 10;
+
+    private CapacityPage() {}
+
+    /** Returns the table of slopes. */
+    public static String slopes(RecordedSlopes slopes) {
+        StringBuilder out = new StringBuilder("| slope | value | unit | what |\n|---|---|---|---|\n");
+        for (Slope slope : Slope.values()) {
+            out.append(String.format(
+                    Locale.ROOT,
+                    "| %s | %s | %s | %s |%n",
+                    slope.name(),
+                    number(slopes.get(slope)),
+                    slope.unit(),
+                    slope.meaning()));
+        }
+        return out.toString();
+    }
+
+    /** Returns the table of capacities at today's and the design size. */
+    public static String capacities(RecordedSlopes slopes) {
+        DeploymentSize today = DeploymentSize.today();
+        DeploymentSize design = DeploymentSize.design();
+        StringBuilder out = new StringBuilder(
+                "| role | quantity | mechanism | today | design | limit | at the design size |\n|---|---|---|---|---|---|---|\n");
+        for (CapacityRow row : CapacityModel.rows()) {
+            out.append(String.format(
+                    Locale.ROOT,
+                    "| %s | %s | %s | %s | %s | %s | %s |%n",
+                    row.role(),
+                    row.quantity(),
+                    row.mechanism(),
+                    number(row.formula().applyAsDouble(today, slopes)),
+                    number(row.formula().applyAsDouble(design, slopes)),
+                    row.limit().isPresent() ? number(row.limit().getAsDouble()) : "none",
+                    row.verdict(design, slopes)));
+        }
+        return out.toString();
+    }
+
+    private static String number(double value) {
+        if (value == 0) {
+            return "0";
+        }
+        if (Math.abs(value) < 0.01) {
+            return String.format(Locale.ROOT, "%.2g", value);
+        }
+        return String.format(Locale.ROOT, Math.abs(value) < SMALL ? "%.2f" : "%.0f", value);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/capacity/RecordedSlopes.java
@@ -0,0 +1,33 @@
+package firwheel.bench.capacity;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/**
+ * Slopes of one measurement.
+ *
+ * @param machine where it was measured
+ * @param values value of each slope
+ */
+public record RecordedSlopes(String machine, Map<Slope, Double> values) {
+    public RecordedSlopes {
+        values = Map.copyOf(values);
+    }
+
+    /** Reads recorded slopes from a JSON file. */
+    public static RecordedSlopes read(Path file) throws IOException {
+        return new ObjectMapper().readValue(Files.readString(file), RecordedSlopes.class);
+    }
+
+    /** Returns the value of a slope; fails when it was not recorded. */
+    public double get(Slope slope) {
+        Double value = values.get(slope);
+        if (value == null) {
+            throw new IllegalArgumentException(slope + " was not recorded; run firwheel bench slopes");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/capacity/StateSlopes.java
@@ -0,0 +1,219 @@
+package firwheel.bench.capacity;
+
+import firwheel.admission.AdmissionDecision;
+import firwheel.admission.AdmissionGate;
+import firwheel.admission.AdmissionLimits;
+import firwheel.admission.AttemptRecords;
+import firwheel.admission.AttemptTicket;
+import firwheel.admission.ClaimOutcome;
+import firwheel.admission.ClaimRequest;
+import firwheel.admission.ClaimService;
+import firwheel.admission.GateListener;
+import firwheel.admission.RecordLimits;
+import firwheel.admission.RecordedAnswer;
+import firwheel.model.AttemptId;
+import firwheel.model.Priority;
+import firwheel.model.RankKey;
+import firwheel.model.ResultCode;
+import firwheel.model.RowState;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import firwheel.model.TimeSource;
+import firwheel.routing.LoadReport;
+import firwheel.routing.LoadTracker;
+import firwheel.routing.RandomBits;
+import firwheel.routing.RouteRequest;
+import firwheel.routing.RoutingPolicies;
+import firwheel.routing.RoutingPolicy;
+import firwheel.standin.InMemoryTableService;
+import firwheel.table.AuditRecord;
+import firwheel.table.RowChange;
+import firwheel.table.RowJson;
+import firwheel.table.TableHolder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.UUID;
+
+/** Measures what one more row, rank, attempt or claim costs in memory, storage and processor time. */
+final class StateSlopes {
+    private static final int ROWS = 12_000;
+    private static final int ZONE_RANKS = 522;
+    private static final int ATTEMPTS = 50_000;
+    private static final int ADOPTIONS = 40;
+    private static final int DECISIONS = 20_000;
+    private static final int MAX_STREAM_BYTES = 1 << 20;
+    private static final int ANSWER_BYTES = 200;
+
+    private final TimeSource time;
+    private final Stopwatch stopwatch;
+
+    StateSlopes(TimeSource time) {
+        this.time = time;
+        this.stopwatch = new Stopwatch(time);
+    }
+
+    Map<Slope, Double> measure() {
+        Map<Slope, Double> slopes = new EnumMap<>(Slope.class);
+        slopes.put(Slope.TABLE_ROW_HEAP_BYTES, tableRowHeapBytes());
+        slopes.put(Slope.RANK_HEAP_BYTES, rankHeapBytes());
+        slopes.put(Slope.ATTEMPT_HEAP_BYTES, attemptHeapBytes());
+        slopes.put(Slope.ROUTE_MICROS, routeMicros());
+        slopes.put(Slope.GATE_MICROS, gateMicros());
+        slopes.put(Slope.ADOPT_MILLIS, adoptMillis());
+        slopes.put(Slope.AUDIT_RECORD_BYTES, auditRecordBytes());
+        slopes.put(Slope.CLAIM_ROW_BYTES, claimRowBytes());
+        return slopes;
+    }
+
+    private static double tableRowHeapBytes() {
+        return Stopwatch.heapBytes(1, ignored -> {
+                    TableHolder holder = new TableHolder();
+                    holder.offer(SampleTable.services(ROWS));
+                    return holder;
+                })
+                / ROWS;
+    }
+
+    private double rankHeapBytes() {
+        TableSnapshot table = SampleTable.groups(ROWS);
+        return Stopwatch.heapBytes(1, ignored -> loadedTracker(table)) / ROWS;
+    }
+
+    private LoadTracker loadedTracker(TableSnapshot table) {
+        LoadTracker tracker = new LoadTracker(time);
+        for (TargetRow row : table.rows()) {
+            for (int rank = 0; rank < row.hosts().size(); rank++) {
+                tracker.onReport(
+                        new RankKey(row.name(), rank), new LoadReport(1_000, 3, 0, 20_000, 0, time.monotonicNanos()));
+            }
+        }
+        return tracker;
+    }
+
+    private double attemptHeapBytes() {
+        return Stopwatch.heapBytes(1, ignored -> {
+                    AdmissionGate gate = gate();
+                    SplittableRandom random = new SplittableRandom(1);
+                    for (int i = 0; i < ATTEMPTS; i++) {
+                        runOne(gate, random);
+                    }
+                    return gate;
+                })
+                / ATTEMPTS;
+    }
+
+    private double gateMicros() {
+        AdmissionGate gate = gate();
+        SplittableRandom random = new SplittableRandom(2);
+        return stopwatch.micros(10_000, () -> runOne(gate, random));
+    }
+
+    private void runOne(AdmissionGate gate, SplittableRandom random) {
+        long nowMillis = time.monotonicMillis();
+        AttemptTicket ticket = new AttemptTicket(
+                AttemptId.random(random),
+                1,
+                "organisation",
+                Priority.NORMAL,
+                500,
+                2_000,
+                nowMillis + 60_000,
+                nowMillis + 60_000);
+        AdmissionDecision decision = gate.offer(ticket);
+        if (!(decision instanceof AdmissionDecision.Admitted)) {
+            throw new IllegalStateException("not admitted: " + decision);
+        }
+        gate.finish(ticket.id(), null);
+    }
+
+    private AdmissionGate gate() {
+        AdmissionLimits limits = new AdmissionLimits(64, 64, 1_000_000, 1 << 26, Duration.ofSeconds(30));
+        RecordLimits recordLimits = new RecordLimits(ATTEMPTS * 2, 1 << 26, Duration.ofMinutes(15));
+        return new AdmissionGate(
+                1,
+                RowState.SERVING,
+                limits,
+                new AttemptRecords(recordLimits),
+                MAX_STREAM_BYTES,
+                time,
+                new GateListener() {
+                    @Override
+                    public void started(AttemptTicket ticket) {}
+
+                    @Override
+                    public void refused(AttemptTicket ticket, ResultCode code, Duration retryAfter) {}
+                });
+    }
+
+    private double routeMicros() {
+        TableSnapshot table = SampleTable.groups(ZONE_RANKS);
+        LoadTracker tracker = loadedTracker(table);
+        RoutingPolicy policy = RoutingPolicies.TOKEN_AWARE.create(RandomBits.seeded(1));
+        RouteRequest request = new RouteRequest(
+                TargetKind.MODEL, "model", "organisation", Priority.NORMAL, List.of(1L, 2L, 3L), 500, Set.of());
+        return stopwatch.micros(DECISIONS, () -> policy.choose(request, tracker.view(table, "zone-a")));
+    }
+
+    private double adoptMillis() {
+        TableHolder holder = new TableHolder();
+        holder.offer(SampleTable.services(ROWS));
+        List<AuditRecord> records = new ArrayList<>();
+        for (int i = 0; i < ADOPTIONS; i++) {
+            records.add(change(holder.table().rows().get(i * 7), 2 + i));
+        }
+        long startNanos = time.monotonicNanos();
+        records.forEach(record -> {
+            if (holder.offerRecords(List.of(record)) != TableHolder.Adoption.ADOPTED) {
+                throw new IllegalStateException("not adopted");
+            }
+        });
+        return (time.monotonicNanos() - startNanos) / 1e6 / ADOPTIONS;
+    }
+
+    static AuditRecord change(TargetRow row, long revision) {
+        return new AuditRecord(
+                revision,
+                "0123456789abcdef0123456789abcdef",
+                "operator",
+                "partner withdraws the target",
+                1_700_000_000_000L,
+                List.of(new RowChange(row.name(), row, row.withState(RowState.LEAVING))));
+    }
+
+    private static double auditRecordBytes() {
+        TargetRow row = SampleTable.groups(1).rows().get(0);
+        return RowJson.writeValue(change(row, 2)).getBytes(StandardCharsets.UTF_8).length;
+    }
+
+    private double claimRowBytes() {
+        InMemoryTableService tables = new InMemoryTableService();
+        ClaimService claims = new ClaimService(
+                tables,
+                Runnable::run,
+                (delay, task) -> task.run(),
+                () -> UUID.randomUUID().toString(),
+                time);
+        ClaimRequest request = new ClaimRequest(
+                "organisation",
+                "order-desk",
+                "0123456789abcdef",
+                "0123456789abcdef0123456789abcdef",
+                Instant.EPOCH.plusSeconds(60));
+        if (!(claims.claim(request).join() instanceof ClaimOutcome.Claimed claimed)) {
+            throw new IllegalStateException("not claimed");
+        }
+        claims.complete(claimed.claim(), new RecordedAnswer(200, "application/json", new byte[ANSWER_BYTES]))
+                .join();
+        return tables.scan("claim/", "", 1).join().stream()
+                .mapToInt(row -> row.key().length() + row.value().getBytes(StandardCharsets.UTF_8).length)
+                .sum();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/capacity/WireSlopes.java
@@ -0,0 +1,93 @@
+package firwheel.bench.capacity;
+
+import firwheel.model.AttemptId;
+import firwheel.model.TimeSource;
+import firwheel.platform.EventLoops;
+import firwheel.wire.AttemptMessage;
+import firwheel.wire.Link;
+import firwheel.wire.LinkEndpoint;
+import firwheel.wire.LinkIdentity;
+import firwheel.wire.LoadMessage;
+import firwheel.wire.Message;
+import firwheel.wire.MessageCodec;
+import firwheel.wire.SharedKey;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+/** Measures what one more frame or link costs. */
+final class WireSlopes {
+    private static final int LINKS = 1_000;
+    private static final int ENDS_PER_LINK = 2;
+    private static final int LENGTH_PREFIX_BYTES = 4;
+    private static final int EVENT_BYTES = 120;
+    private static final int FRAMES = 50_000;
+    private static final String LOOPBACK = "127.0.0.1";
+
+    private final Stopwatch stopwatch;
+    private final MessageCodec codec = new MessageCodec();
+    private final AttemptId attempt = AttemptId.random(new SplittableRandom(1));
+
+    WireSlopes(TimeSource time) {
+        this.stopwatch = new Stopwatch(time);
+    }
+
+    Map<Slope, Double> measure() {
+        Map<Slope, Double> slopes = new EnumMap<>(Slope.class);
+        slopes.put(Slope.DISPATCH_BYTES, frameBytes(SampleMessages.dispatch(attempt)));
+        slopes.put(Slope.CHUNK_BYTES, frameBytes(new AttemptMessage.Chunk(attempt, 100, new byte[0])));
+        slopes.put(Slope.CREDIT_BYTES, frameBytes(new AttemptMessage.Credit(attempt, 8)));
+        slopes.put(Slope.PROBE_BYTES, frameBytes(new LoadMessage.Probe(100_000)));
+        slopes.put(Slope.REPORT_BYTES, frameBytes(SampleMessages.report()));
+        slopes.put(Slope.FRAME_MICROS, frameMicros());
+        slopes.put(Slope.LINK_HEAP_BYTES, linkHeapBytes());
+        return slopes;
+    }
+
+    private double frameBytes(Message message) {
+        return LENGTH_PREFIX_BYTES + codec.encode(message).length;
+    }
+
+    private double frameMicros() {
+        AttemptMessage.Chunk chunk = new AttemptMessage.Chunk(attempt, 100, new byte[EVENT_BYTES]);
+        return stopwatch.micros(FRAMES, () -> codec.decode(codec.encode(chunk)));
+    }
+
+    private static double linkHeapBytes() {
+        Vertx vertx = Vertx.vertx();
+        try {
+            openLinks(vertx, 50);
+            return Stopwatch.heapBytes(1, ignored -> openLinks(vertx, LINKS)) / (LINKS * ENDS_PER_LINK);
+        } finally {
+            vertx.close().toCompletionStage().toCompletableFuture().join();
+        }
+    }
+
+    private static List<Link> openLinks(Vertx vertx, int count) {
+        return EventLoops.start(vertx, () -> openLinksHere(vertx, count)).join();
+    }
+
+    private static CompletableFuture<List<Link>> openLinksHere(Vertx vertx, int count) {
+        SharedKey key = new SharedKey("measurement");
+        LinkEndpoint acceptor = new LinkEndpoint(vertx, key, new LinkIdentity("acceptor", "zone-a", "agent", 1));
+        LinkEndpoint initiator = new LinkEndpoint(vertx, key, new LinkIdentity("initiator", "zone-a", "entry", 2));
+        List<Link> accepted = new ArrayList<>();
+        return acceptor.listen(LOOPBACK, 0, accepted::add)
+                .thenCompose(server -> openNext(initiator, server.actualPort(), new ArrayList<>(), count));
+    }
+
+    private static CompletableFuture<List<Link>> openNext(
+            LinkEndpoint endpoint, int port, List<Link> opened, int count) {
+        if (opened.size() == count) {
+            return CompletableFuture.completedFuture(opened);
+        }
+        return endpoint.connect(LOOPBACK, port).thenCompose(link -> {
+            opened.add(link);
+            return openNext(endpoint, port, opened, count);
+        });
+    }
+}
--- a/cli/src/main/java/firwheel/cli/Commands.java
+++ b/cli/src/main/java/firwheel/cli/Commands.java
@@ -21,6 +21,7 @@
             new Entry("demo", "Runs everything in one process, with stand-ins.", DemoCommand::new),
             new Entry("stand-in", "Runs a stand-in: platform, engine or service.", StandInCommand::new),
             new Entry("load", "Offers load to entries and checks every answer.", LoadCommand::new),
+            new Entry("bench", "Measures slopes and writes the capacity tables.", BenchCommand::new),
             new Entry("version", "Prints the version.", VersionCommand::new));
 
     private Commands() {}
