--- a/bench/src/main/java/firwheel/bench/capacity/CapacityModel.java
+++ b/bench/src/main/java/firwheel/bench/capacity/CapacityModel.java
@@ -123,10 +123,8 @@
                 "one frame a token, one event loop",
                 OptionalDouble.empty(),
                 "",
-                (size, slopes) -> size.tokensPerSecond()
-                        / size.entries()
-                        * slopes.get(Slope.FRAME_MICROS)
-                        / MICROS_PER_PERCENT);
+                (size, slopes) ->
+                        size.tokensPerSecond() / size.entries() * slopes.get(Slope.FRAME_MICROS) / MICROS_PER_PERCENT);
     }
 
     private static CapacityRow entryProbes() {
@@ -138,9 +136,7 @@
                 "",
                 (size, slopes) -> size.requestsPerEntry()
                         * PROBES_PER_REQUEST
-                        * (slopes.get(Slope.PROBE_BYTES)
-                                + slopes.get(Slope.REPORT_BYTES)
-                                + 2 * PACKET_HEADER_BYTES));
+                        * (slopes.get(Slope.PROBE_BYTES) + slopes.get(Slope.REPORT_BYTES) + 2 * PACKET_HEADER_BYTES));
     }
 
     private static CapacityRow entryGossip() {
--- a/bench/src/main/java/firwheel/bench/capacity/StateSlopes.java
+++ b/bench/src/main/java/firwheel/bench/capacity/StateSlopes.java
@@ -20,6 +20,7 @@
 import firwheel.model.TargetKind;
 import firwheel.model.TargetRow;
 import firwheel.model.TimeSource;
+import firwheel.platform.Delay;
 import firwheel.routing.LoadReport;
 import firwheel.routing.LoadTracker;
 import firwheel.routing.RandomBits;
@@ -29,7 +30,8 @@
 import firwheel.standin.InMemoryTableService;
 import firwheel.table.AuditRecord;
 import firwheel.table.RowChange;
-import firwheel.table.RowJson;
+import firwheel.table.TableChecks;
+import firwheel.table.TableCommitter;
 import firwheel.table.TableHolder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -188,9 +190,19 @@
                 List.of(new RowChange(row.name(), row, row.withState(RowState.LEAVING))));
     }
 
-    private static double auditRecordBytes() {
-        TargetRow row = SampleTable.groups(1).rows().get(0);
-        return RowJson.writeValue(change(row, 2)).getBytes(StandardCharsets.UTF_8).length;
+    private double auditRecordBytes() {
+        InMemoryTableService tables = new InMemoryTableService();
+        TableCommitter committer = new TableCommitter(tables, time, Delay.system());
+        TableSnapshot table = SampleTable.groups(1);
+        TargetRow row = table.rows().get(0);
+        TableSnapshot edited = new TableSnapshot(1, List.of(row.withState(RowState.LEAVING)));
+        committer
+                .apply(TableSnapshot.EMPTY, table, "operator", "first table", "first")
+                .join();
+        committer
+                .apply(table, edited, "operator", "partner withdraws it", "second", new TableChecks.Option(true))
+                .join();
+        return tables.scan("audit/", "", 10).join().get(1).value().getBytes(StandardCharsets.UTF_8).length;
     }
 
     private double claimRowBytes() {
@@ -212,7 +224,7 @@
         }
         claims.complete(claimed.claim(), new RecordedAnswer(200, "application/json", new byte[ANSWER_BYTES]))
                 .join();
-        return tables.scan("claim/", "", 1).join().stream()
+        return tables.scan("", "", 10).join().stream()
                 .mapToInt(row -> row.key().length() + row.value().getBytes(StandardCharsets.UTF_8).length)
                 .sum();
     }
--- a/load/src/main/java/firwheel/load/LoadRequest.java
+++ b/load/src/main/java/firwheel/load/LoadRequest.java
@@ -15,6 +15,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -25,6 +26,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Duration GRACE = Duration.ofSeconds(5);
     private static final int OK = 200;
+    private static final int MAX_CONNECTS = 4;
 
     private final Vertx vertx;
     private final Mix.Item item;
@@ -69,10 +71,16 @@
         return item.isCompletion() ? Optional.empty() : Optional.of(ExpectedAnswer.digest(body));
     }
 
-    /** Sends the request; {@code end} is called once. */
-    void send(HttpClient client, URI entry, Duration deadline, Consumer<Verdict> end) {
+    /** Sends the request to the first entry that takes the connection; {@code end} is called once. */
+    void send(HttpClient client, List<URI> entries, Duration deadline, Consumer<Verdict> end) {
         onEnd = end;
         timeoutTimer = vertx.setTimer(deadline.plus(GRACE).toMillis(), ignored -> finish(Verdict.LOST));
+        connect(client, entries, deadline, 0);
+    }
+
+    /** Tries the entries in turn, as a balancer passes over hosts that take no connection. */
+    private void connect(HttpClient client, List<URI> entries, Duration deadline, int tried) {
+        URI entry = entries.get(tried);
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.POST)
                 .setHost(entry.getHost())
@@ -85,7 +93,17 @@
         if (item.keyed()) {
             options.putHeader("Idempotency-Key", id);
         }
-        client.request(options).onSuccess(this::sendBody).onFailure(error -> finish(Verdict.NOT_RUN));
+        client.request(options)
+                .onSuccess(this::sendBody)
+                .onFailure(error -> connectNext(client, entries, deadline, tried + 1));
+    }
+
+    private void connectNext(HttpClient client, List<URI> entries, Duration deadline, int tried) {
+        if (tried < Math.min(MAX_CONNECTS, entries.size())) {
+            connect(client, entries, deadline, tried);
+        } else {
+            finish(Verdict.NOT_RUN);
+        }
     }
 
     private void sendBody(HttpClientRequest request) {
--- a/load/src/main/java/firwheel/load/LoadRun.java
+++ b/load/src/main/java/firwheel/load/LoadRun.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -130,9 +131,10 @@
         }
         open++;
         Mix.Item item = options.mix().draw(random);
-        URI entry = options.entries().get((int) (serial % options.entries().size()));
+        List<URI> entries = new ArrayList<>(options.entries());
+        Collections.rotate(entries, -(int) (serial % entries.size()));
         LoadRequest request = new LoadRequest(vertx, item, serial, options.seed(), dueNanos, time, tally);
-        request.send(client, entry, options.deadline(), verdict -> onEnd(request, verdict));
+        request.send(client, entries, options.deadline(), verdict -> onEnd(request, verdict));
     }
 
     private void onEnd(LoadRequest request, Verdict verdict) {
--- a/standin/src/main/java/firwheel/standin/StandInPlatform.java
+++ b/standin/src/main/java/firwheel/standin/StandInPlatform.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import firwheel.model.FirwheelException;
+import firwheel.model.TimeSource;
+import firwheel.platform.Delay;
 import firwheel.platform.EventLoops;
 import firwheel.platform.HostList;
 import firwheel.platform.PlatformRequests;
@@ -11,6 +13,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -19,21 +22,34 @@
 
 /** Serves a table service, an object store and a host list over HTTP, in the form that the HTTP adapter reads. */
 public final class StandInPlatform {
+    private static final String FAULTS_PATH = "/v1/stand-in/faults";
+    private static final String SET_HOSTS_PATH = "/v1/stand-in/hosts";
+    private static final long FAULT_SEED = 1;
     private static final int NO_CONTENT = 204;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
 
     private final Vertx vertx;
-    private final TableService tables;
+    private final FaultyTableService tables;
     private final ObjectMapper mapper = new ObjectMapper();
     private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
     private volatile List<HostList.HostEntry> hosts = List.of();
 
+    /**
+     * Faults that a test asks for over HTTP.
+     *
+     * @param outage whether nothing is answered and nothing takes effect
+     * @param latencyMillis time from call to effect, and again from effect to answer
+     * @param lostAnswerShare share of the writes that take effect while their answer is lost
+     * @param refusedShare share of the calls that fail without effect
+     */
+    public record FaultRequest(boolean outage, long latencyMillis, double lostAnswerShare, double refusedShare) {}
+
     /** Creates a platform that keeps its rows in {@code tables}. */
     public StandInPlatform(Vertx vertx, TableService tables) {
         this.vertx = vertx;
-        this.tables = tables;
+        this.tables = new FaultyTableService(tables, TimeSource.system(), Delay.system(), FAULT_SEED);
     }
 
     /** Replaces the host list. */
@@ -61,6 +77,14 @@
                 case PlatformRequests.COMMIT_PATH ->
                     answer(request, tables.commit(read(body, firwheel.platform.Transaction.class)));
                 case PlatformRequests.HOSTS_PATH -> answer(request, CompletableFuture.completedFuture(hosts));
+                case FAULTS_PATH -> {
+                    setFaults(read(body, FaultRequest.class));
+                    request.response().setStatusCode(NO_CONTENT).end();
+                }
+                case SET_HOSTS_PATH -> {
+                    setHosts(List.of(read(body, HostList.HostEntry[].class)));
+                    request.response().setStatusCode(NO_CONTENT).end();
+                }
                 default -> object(request, body);
             }
         } catch (IOException e) {
@@ -68,6 +92,18 @@
         }
     }
 
+    private void setFaults(FaultRequest request) {
+        tables.setFaults(new FaultyTableService.Faults(
+                request.outage(),
+                Duration.ofMillis(request.latencyMillis()),
+                0,
+                Duration.ZERO,
+                request.lostAnswerShare(),
+                request.refusedShare(),
+                Integer.MAX_VALUE,
+                Integer.MAX_VALUE));
+    }
+
     private <T> T read(Buffer body, Class<T> type) throws IOException {
         return mapper.readValue(body.getBytes(), type);
     }
