--- a/bench/src/main/java/firwheel/bench/capacity/WireSlopes.java
+++ b/bench/src/main/java/firwheel/bench/capacity/WireSlopes.java
@@ -7,6 +7,7 @@
 import firwheel.wire.Link;
 import firwheel.wire.LinkEndpoint;
 import firwheel.wire.LinkIdentity;
+import firwheel.wire.LinkSecurity;
 import firwheel.wire.LoadMessage;
 import firwheel.wire.Message;
 import firwheel.wire.MessageCodec;
@@ -72,7 +73,7 @@
     }
 
     private static CompletableFuture<List<Link>> openLinksHere(Vertx vertx, int count) {
-        SharedKey key = new SharedKey("measurement");
+        LinkSecurity key = new LinkSecurity(new SharedKey("measurement"), null);
         LinkEndpoint acceptor = new LinkEndpoint(vertx, key, new LinkIdentity("acceptor", "zone-a", "agent", 1));
         LinkEndpoint initiator = new LinkEndpoint(vertx, key, new LinkIdentity("initiator", "zone-a", "entry", 2));
         List<Link> accepted = new ArrayList<>();
