--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -7,6 +7,9 @@
 import firwheel.model.ResultCode;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
+import firwheel.peers.ControlThread;
+import firwheel.peers.DeferredTable;
+import firwheel.peers.TableLinks;
 import firwheel.platform.EventLoops;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
@@ -24,6 +27,7 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.net.NetServer;
 import java.util.HashSet;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -59,6 +63,7 @@
             .labelNames("result")
             .register(registry);
     private final HttpClient targetClient;
+    private @Nullable TableLinks tables;
     private @Nullable NetServer linkServer;
     private @Nullable HttpServer adminServer;
     private boolean draining;
@@ -86,6 +91,26 @@
         });
     }
 
+    /** Starts an agent that learns the table from the entries that link to it. */
+    public static CompletableFuture<AgentServer> start(Vertx vertx, AgentSettings settings) {
+        return EventLoops.start(vertx, () -> {
+            DeferredTable table = new DeferredTable();
+            AgentServer agent = new AgentServer(vertx, settings, table);
+            LinkEndpoint endpoint = agent.endpoint();
+            TableLinks tables = new TableLinks(
+                    agent.context,
+                    endpoint,
+                    ControlThread.start(),
+                    TableLinks.Sources.ofAgent(settings.peers()),
+                    endpoint::connect,
+                    new Random());
+            table.set(tables);
+            agent.tables = tables;
+            tables.start();
+            return agent.listen().thenApply(done -> agent);
+        });
+    }
+
     /** Returns the TCP port of the links. */
     public int port() {
         return linkServer == null ? settings.port() : linkServer.actualPort();
@@ -121,12 +146,16 @@
         context.runOnContext(ignored -> cutRemaining());
     }
 
-    private CompletableFuture<?> listen() {
+    private LinkEndpoint endpoint() {
         LinkIdentity identity = new LinkIdentity(
                 settings.ip() + ":" + settings.port(), settings.availabilityZone(), "agent", incarnation);
-        LinkEndpoint endpoint = new LinkEndpoint(vertx, settings.linkSecurity(), identity);
+        return new LinkEndpoint(vertx, settings.linkSecurity(), identity);
+    }
+
+    private CompletableFuture<?> listen() {
         AdminServer admin = new AdminServer(registry, this::ready, this::status);
-        return endpoint.listen(settings.ip(), settings.port(), this::onLink)
+        return endpoint()
+                .listen(settings.ip(), settings.port(), this::onLink)
                 .thenCompose(server -> {
                     linkServer = server;
                     return admin.listen(vertx, settings.ip(), settings.adminPort());
@@ -157,19 +186,30 @@
     private void onLink(Link link) {
         links.add(link);
         link.onMessage(message -> onMessage(link, message));
-        link.onClose(() -> {
-            links.remove(link);
-            attempts.onLinkClosed(link);
-        });
+        TableLinks carried = tables;
+        if (carried != null) {
+            carried.attach(link);
+        }
+        link.onClose(() -> onLinkClosed(link, carried));
         link.send(new LoadMessage.Clock(time.monotonicMillis()));
     }
 
+    private void onLinkClosed(Link link, @Nullable TableLinks carried) {
+        links.remove(link);
+        attempts.onLinkClosed(link);
+        if (carried != null) {
+            carried.detach(link);
+        }
+    }
+
     private void onMessage(Link link, Message message) {
         if (message instanceof AttemptMessage attemptMessage) {
             attempts.onMessage(link, attemptMessage);
             completeDrain();
         } else if (message instanceof LoadMessage.Probe probe) {
             link.send(report(probe.probeId()));
+        } else if (tables != null) {
+            tables.handle(link, message);
         }
     }
 
--- a/entry/src/main/java/firwheel/entry/AgentLink.java
+++ b/entry/src/main/java/firwheel/entry/AgentLink.java
@@ -3,6 +3,7 @@
 import firwheel.admission.AgentClock;
 import firwheel.model.AttemptId;
 import firwheel.model.TimeSource;
+import firwheel.peers.TableLinks;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
 import firwheel.wire.LoadMessage;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 
 /** A link to one agent, shared by all attempts of this entry at that agent. Used on the entry's event loop only. */
 final class AgentLink {
@@ -31,15 +33,25 @@
     private final Map<AttemptId, Listener> listeners = new HashMap<>();
     private final Consumer<LoadMessage.Report> onReport;
     private final Runnable onForeign;
+    private final @Nullable TableLinks tables;
     private long heardAtMillis;
 
-    AgentLink(Link link, TimeSource time, Consumer<LoadMessage.Report> onReport, Runnable onForeign) {
+    AgentLink(
+            Link link,
+            TimeSource time,
+            Consumer<LoadMessage.Report> onReport,
+            Runnable onForeign,
+            @Nullable TableLinks tables) {
         this.link = link;
         this.time = time;
         this.onReport = onReport;
         this.onForeign = onForeign;
         heardAtMillis = time.monotonicMillis();
+        this.tables = tables;
         link.onMessage(this::onMessage);
+        if (tables != null) {
+            tables.attach(link);
+        }
         link.onClose(this::onClosed);
     }
 
@@ -74,6 +86,13 @@
         listeners.put(attempt, listener);
     }
 
+    /** Tells the agent which table revision is in force here, before a dispatch that rests on it. */
+    void announceTable() {
+        if (tables != null) {
+            tables.announce(link);
+        }
+    }
+
     /** Sends a message about an attempt. */
     void send(Message message) {
         link.send(message);
@@ -98,11 +117,16 @@
         } else if (message instanceof LoadMessage.Clock reading) {
             clock.observe(reading.clockMillis(), heardAtMillis);
             ready.complete(this);
+        } else if (tables != null) {
+            tables.handle(link, message);
         }
     }
 
     private void onClosed() {
         ready.completeExceptionally(new IllegalStateException("closed before the agent's clock was known"));
+        if (tables != null) {
+            tables.detach(link);
+        }
         List<Listener> open = List.copyOf(listeners.values());
         listeners.clear();
         open.forEach(Listener::onLinkLost);
--- a/entry/src/main/java/firwheel/entry/AttemptExchange.java
+++ b/entry/src/main/java/firwheel/entry/AttemptExchange.java
@@ -78,6 +78,7 @@
         incarnation = newLink.agentIncarnation();
         admitByMillis = newLink.toAgentMillis(nowMillis) + ADMIT_WINDOW_MILLIS;
         newLink.register(id, this);
+        newLink.announceTable();
         newLink.send(new AttemptMessage.Dispatch(
                 id,
                 incarnation,
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -5,9 +5,13 @@
 import firwheel.model.AttemptId;
 import firwheel.model.EventCode;
 import firwheel.model.Events;
+import firwheel.model.RankAddress;
 import firwheel.model.RankKey;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
+import firwheel.peers.ControlThread;
+import firwheel.peers.DeferredTable;
+import firwheel.peers.TableLinks;
 import firwheel.platform.EventLoops;
 import firwheel.platform.HttpPlatform;
 import firwheel.platform.TableService;
@@ -24,6 +28,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -53,6 +58,7 @@
     private final long incarnation = random.nextLong();
     private final Set<RequestRun> running = new HashSet<>();
     private @Nullable RunContext runContext;
+    private @Nullable AgentLinks links;
     private @Nullable HttpServer callerServer;
     private @Nullable HttpServer adminServer;
     private boolean draining;
@@ -75,6 +81,38 @@
         });
     }
 
+    /** Starts an entry that keeps its table up to date by the platform and its peers. */
+    public static CompletableFuture<EntryServer> start(
+            Vertx vertx, EntrySettings settings, TableLinks.Sources sources, RoutingPolicy policy) {
+        return EventLoops.start(vertx, () -> {
+            DeferredTable table = new DeferredTable();
+            EntryServer entry = new EntryServer(vertx, settings, table, policy);
+            return entry.listen().thenCompose(done -> entry.joinPeers(sources)).thenApply(tables -> {
+                table.set(tables);
+                return entry;
+            });
+        });
+    }
+
+    private CompletableFuture<TableLinks> joinPeers(TableLinks.Sources sources) {
+        AgentLinks agentLinks = links();
+        TableLinks tables = new TableLinks(
+                context,
+                agentLinks.endpoint(),
+                ControlThread.start(),
+                sources,
+                (ip, port) -> agentLinks.link(new RankAddress(0, ip, port)),
+                new Random());
+        agentLinks.carryTables(tables);
+        tables.start();
+        return settings.linkPort() == 0
+                ? CompletableFuture.completedFuture(tables)
+                : agentLinks
+                        .endpoint()
+                        .listen(settings.ip(), settings.linkPort(), tables::adopt)
+                        .thenApply(server -> tables);
+    }
+
     /** Returns the port for callers. */
     public int port() {
         return callerServer == null ? settings.port() : callerServer.actualPort();
@@ -104,14 +142,15 @@
     }
 
     private CompletableFuture<?> listen() {
-        LinkIdentity identity = new LinkIdentity(
-                settings.ip() + ":" + settings.port(), settings.availabilityZone(), "entry", incarnation);
+        LinkIdentity identity =
+                new LinkIdentity(settings.ip() + ":" + linkPort(), settings.availabilityZone(), "entry", incarnation);
         LinkEndpoint endpoint = new LinkEndpoint(vertx, settings.linkSecurity(), identity);
-        AgentLinks links = new AgentLinks(endpoint, time, report -> {}, metrics::countForeignFrame);
-        vertx.setPeriodic(LINK_CHECK_MILLIS, timer -> links.closeSilent());
+        AgentLinks agentLinks = new AgentLinks(endpoint, time, report -> {}, metrics::countForeignFrame);
+        links = agentLinks;
+        vertx.setPeriodic(LINK_CHECK_MILLIS, timer -> agentLinks.closeSilent());
         runContext = new RunContext(
                 vertx,
-                links,
+                agentLinks,
                 policy,
                 this::view,
                 claims(),
@@ -153,6 +192,17 @@
         run.start();
     }
 
+    private AgentLinks links() {
+        if (links == null) {
+            throw new IllegalStateException("not listening");
+        }
+        return links;
+    }
+
+    private int linkPort() {
+        return settings.linkPort() == 0 ? settings.port() : settings.linkPort();
+    }
+
     private RoutingView view() {
         TableSnapshot snapshot = table.get();
         long nowNanos = time.monotonicNanos();
--- a/wire/src/main/java/firwheel/wire/MessageType.java
+++ b/wire/src/main/java/firwheel/wire/MessageType.java
@@ -23,7 +23,8 @@
     RECEIVED(21, AttemptMessage.Received.class),
     PROBE(30, LoadMessage.Probe.class),
     LOAD_REPORT(31, LoadMessage.Report.class),
-    CLOCK(32, LoadMessage.Clock.class);
+    CLOCK(32, LoadMessage.Clock.class),
+    TABLE(40, TableFrame.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
