--- a/bench/src/main/java/firwheel/bench/capacity/CapacityModel.java
+++ b/bench/src/main/java/firwheel/bench/capacity/CapacityModel.java
@@ -44,6 +44,9 @@
                 entryGossip(),
                 entryPatches(),
                 entryAdoption(),
+                entryTotalBytes(),
+                entryTotalHeap(),
+                agentTotalHeap(),
                 agentLinks(),
                 agentTableHeap(),
                 agentRecords(),
@@ -179,6 +182,44 @@
                         / 12_000);
     }
 
+    private static CapacityRow entryTotalBytes() {
+        return new CapacityRow(
+                "entry",
+                "all control traffic, bytes/s in working hours",
+                "sum of probes, announcements, changes and whole tables",
+                limit(CONTROL_BYTES_PER_SECOND),
+                "one probe a request, and each agent looked after by one entry",
+                (size, slopes) -> sum(size, slopes, entryProbes(), entryGossip(), entryPatches(), bootstrapDay()));
+    }
+
+    private static CapacityRow entryTotalHeap() {
+        return new CapacityRow(
+                "entry",
+                "all control state, MB",
+                "sum of links, table and rank loads",
+                limit(CONTROL_HEAP_MB),
+                "",
+                (size, slopes) -> sum(size, slopes, entryLinkHeap(), entryTableHeap(), entryLoadHeap()));
+    }
+
+    private static CapacityRow agentTotalHeap() {
+        return new CapacityRow(
+                "agent",
+                "all control state, MB",
+                "sum of table and attempt records",
+                limit(CONTROL_HEAP_MB),
+                "",
+                (size, slopes) -> sum(size, slopes, agentTableHeap(), agentRecords()));
+    }
+
+    private static double sum(DeploymentSize size, RecordedSlopes slopes, CapacityRow... rows) {
+        double total = 0;
+        for (CapacityRow row : rows) {
+            total += row.formula().applyAsDouble(size, slopes);
+        }
+        return total;
+    }
+
     private static CapacityRow agentLinks() {
         return new CapacityRow(
                 "agent",
@@ -289,7 +330,7 @@
         return new CapacityRow(
                 "table service",
                 "audit records kept for 400 days, MB",
-                "older records move to the object store by the operators' command",
+                "whole rows before and after each change, kept in the table service; nothing removes them",
                 OptionalDouble.empty(),
                 "",
                 (size, slopes) -> size.changesPerDay()
--- a/bench/src/main/java/firwheel/bench/capacity/WireSlopes.java
+++ b/bench/src/main/java/firwheel/bench/capacity/WireSlopes.java
@@ -1,8 +1,14 @@
 package firwheel.bench.capacity;
 
 import firwheel.model.AttemptId;
+import firwheel.model.TargetRow;
 import firwheel.model.TimeSource;
+import firwheel.peers.TableMessageCodec;
 import firwheel.platform.EventLoops;
+import firwheel.table.RevisionPatch;
+import firwheel.table.RowPatch;
+import firwheel.table.TableColumn;
+import firwheel.table.TableMessage;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
 import firwheel.wire.LinkEndpoint;
@@ -27,10 +33,12 @@
     private static final int LENGTH_PREFIX_BYTES = 4;
     private static final int EVENT_BYTES = 120;
     private static final int FRAMES = 50_000;
+    private static final int SNAPSHOT_ROWS = 100;
     private static final String LOOPBACK = "127.0.0.1";
 
     private final Stopwatch stopwatch;
     private final MessageCodec codec = new MessageCodec();
+    private final TableMessageCodec tableCodec = new TableMessageCodec();
     private final AttemptId attempt = AttemptId.random(new SplittableRandom(1));
 
     WireSlopes(TimeSource time) {
@@ -44,6 +52,9 @@
         slopes.put(Slope.CREDIT_BYTES, frameBytes(new AttemptMessage.Credit(attempt, 8)));
         slopes.put(Slope.PROBE_BYTES, frameBytes(new LoadMessage.Probe(100_000)));
         slopes.put(Slope.REPORT_BYTES, frameBytes(SampleMessages.report()));
+        slopes.put(Slope.ANNOUNCE_BYTES, tableBytes(new TableMessage.Announce(12_000, Long.MAX_VALUE)));
+        slopes.put(Slope.PATCH_BYTES, tableBytes(patch()));
+        slopes.put(Slope.SNAPSHOT_ROW_BYTES, snapshotRowBytes());
         slopes.put(Slope.FRAME_MICROS, frameMicros());
         slopes.put(Slope.LINK_HEAP_BYTES, linkHeapBytes());
         return slopes;
@@ -53,6 +64,21 @@
         return LENGTH_PREFIX_BYTES + codec.encode(message).length;
     }
 
+    private double tableBytes(TableMessage message) {
+        return frameBytes(tableCodec.encode(message));
+    }
+
+    private static TableMessage patch() {
+        RowPatch.FieldText state = new RowPatch.FieldText(TableColumn.STATE, "leaving");
+        RowPatch row = new RowPatch("group-00012", false, List.of(state));
+        return new TableMessage.Patches(List.of(new RevisionPatch(12_000, Long.MAX_VALUE, List.of(row))), 12_000);
+    }
+
+    private double snapshotRowBytes() {
+        List<TargetRow> rows = SampleTable.services(SNAPSHOT_ROWS).rows();
+        return tableBytes(new TableMessage.SnapshotPage(12_000, Long.MAX_VALUE, 0, 1, rows)) / SNAPSHOT_ROWS;
+    }
+
     private double frameMicros() {
         AttemptMessage.Chunk chunk = new AttemptMessage.Chunk(attempt, 100, new byte[EVENT_BYTES]);
         return stopwatch.micros(FRAMES, () -> codec.decode(codec.encode(chunk)));
--- a/peers/src/main/java/firwheel/peers/TableMessageCodec.java
+++ b/peers/src/main/java/firwheel/peers/TableMessageCodec.java
@@ -23,7 +23,7 @@
  * Turns table messages into frames and back: one byte with the position in the list of types, then the fields in the
  * order of the record. Types and fields are only added at the end.
  */
-final class TableMessageCodec {
+public final class TableMessageCodec {
     private static final List<Class<? extends TableMessage>> TYPES = List.of(
             TableMessage.Announce.class,
             TableMessage.Pull.class,
@@ -33,7 +33,8 @@
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
-    TableMessageCodec() {
+    /** Creates a codec for all table messages. */
+    public TableMessageCodec() {
         mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
         mapper.enable(SerializationFeature.WRITE_ENUMS_USING_INDEX);
         JsonFormat.Value asArray = JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
@@ -42,7 +43,8 @@
                 .forEach(type -> mapper.configOverride(type).setFormat(asArray));
     }
 
-    TableFrame encode(TableMessage message) {
+    /** Encodes a message. */
+    public TableFrame encode(TableMessage message) {
         try {
             ByteArrayOutputStream out = new ByteArrayOutputStream();
             out.write(TYPES.indexOf(message.getClass()));
@@ -54,7 +56,7 @@
     }
 
     /** Decodes a frame; fails with {@code FW-7003} when it is malformed. */
-    TableMessage decode(TableFrame frame) {
+    public TableMessage decode(TableFrame frame) {
         byte[] content = frame.content();
         if (content == null || content.length < 2 || content[0] < 0 || content[0] >= TYPES.size()) {
             throw new FirwheelException(ResultCode.BAD_FRAME, "table message of unknown type");
