--- a/cli/src/test/java/firwheel/cli/CommandLineTest.java
+++ b/cli/src/test/java/firwheel/cli/CommandLineTest.java
@@ -147,6 +147,7 @@
                     "entry");
 
             assertThat(complaint()).contains("\"event\":\"EV-101\"", "\"role\":\"entry\"");
+            assertThat(printed()).isEmpty();
         }
 
         @Test
@@ -159,6 +160,7 @@
                     "entry");
 
             assertThat(complaint()).contains("event=\"EV-101\" role=\"entry\"");
+            assertThat(printed()).isEmpty();
         }
     }
 }
