Route by the loads that an entry knows, with probes, retry budgets and stall detection

Cause: the entry chose at random and knew no loads; retries were bounded by a count only. Change: Router holds LoadTracker, probes and RetryBudgets; RequestRun tells it of attempts, pieces and ends. A rank that is draining, not serving or unreachable gets nothing new for a second. Ruled out: silence before the first piece as a sign of a stall (a long prompt or an answer without streaming looks the same); a load field in each chunk (the load changes far less often than chunks are sent).

--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -9,6 +9,7 @@
 import firwheel.model.TableSnapshot;
 import firwheel.model.TargetKind;
 import firwheel.model.TargetRow;
+import firwheel.model.TimeSource;
 import firwheel.platform.EventLoops;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
@@ -50,6 +51,7 @@
     private final Supplier<TableSnapshot> table;
     private final long incarnation = new SplittableRandom().nextLong();
     private final Map<AttemptId, AttemptExecution> running = new HashMap<>();
+    private final LoadReporter loads;
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter dispatches = Counter.builder()
             .name("firwheel_agent_dispatches_total")
@@ -67,6 +69,7 @@
         this.settings = settings;
         this.table = table;
         context = vertx.getOrCreateContext();
+        loads = new LoadReporter(settings.row(), settings.rank(), TimeSource.system(), this::expectsOutput);
         targetClient = vertx.createHttpClient(
                 new HttpClientOptions().setConnectTimeout(1_000),
                 new PoolOptions().setHttp1MaxSize(MAX_TARGET_CONNECTIONS));
@@ -112,6 +115,7 @@
         return endpoint.listen(settings.ip(), settings.port(), this::onLink)
                 .thenCompose(server -> {
                     linkServer = server;
+                    vertx.setPeriodic(LoadReporter.INTERVAL_MILLIS, timer -> loads.reportToAll());
                     return admin.listen(vertx, settings.ip(), settings.adminPort());
                 })
                 .thenAccept(server -> {
@@ -120,6 +124,10 @@
                 });
     }
 
+    private boolean expectsOutput() {
+        return running.values().stream().anyMatch(AttemptExecution::expectsOutput);
+    }
+
     private boolean ready() {
         return !draining && table.get().revision() > 0;
     }
@@ -153,14 +161,10 @@
                 execution.cancel();
             }
         } else if (message instanceof LoadMessage.Probe probe) {
-            link.send(report(probe.probeId()));
+            link.send(loads.report(probe.probeId()));
         }
     }
 
-    private LoadMessage.Report report(long probeId) {
-        return new LoadMessage.Report(probeId, settings.row(), settings.rank(), 0, running.size(), 0, 0);
-    }
-
     private void onDispatch(Link link, AttemptMessage.Dispatch dispatch) {
         Optional<TargetRow> row = table.get().row(settings.row());
         ResultCode refusal = refusal(dispatch, row);
@@ -171,9 +175,10 @@
         }
         dispatches.labelValues("admitted").inc();
         boolean model = row.orElseThrow().kind() == TargetKind.MODEL;
-        AttemptExecution execution =
-                new AttemptExecution(vertx, dispatch, model, link::send, () -> onOver(dispatch.attempt()));
+        AttemptExecution execution = new AttemptExecution(
+                vertx, dispatch, model, message -> loads.send(link, message), () -> onOver(dispatch.attempt()));
         running.put(dispatch.attempt(), execution);
+        loads.onAdmitted(link, dispatch);
         execution.start(targetClient, settings.targetIp(), settings.targetPort());
     }
 
@@ -195,6 +200,7 @@
 
     private void onOver(AttemptId attempt) {
         running.remove(attempt);
+        loads.onOver(attempt);
         completeDrain();
     }
 
--- a/agent/src/main/java/firwheel/agent/AttemptExecution.java
+++ b/agent/src/main/java/firwheel/agent/AttemptExecution.java
@@ -83,6 +83,11 @@
         }
     }
 
+    /** Returns whether a stream has begun, may send more, and waits for the target. */
+    boolean expectsOutput() {
+        return eventStream && !over && nextSequence > 0 && credits > 0;
+    }
+
     /** Gives the attempt up because its caller has left; the target is told by a reset stream. */
     void cancel() {
         end();
--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/routing/AnnouncedReuse.java
@@ -0,0 +1,141 @@
+package firwheel.bench.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Compares an index of conversations that keeps what is announced to be used again with one that forgets the least
+ * recently used, at equal memory. After Claeys et al., "An Announcement-based Caching Approach for Video-on-Demand
+ * Streaming".
+ */
+public final class AnnouncedReuse {
+    private static final double END_SECONDS = 3_600;
+    private static final double SESSIONS_PER_SECOND = 5;
+    private static final double SINGLE_TURN_SHARE = 0.6;
+    private static final double LAST_TURN_SHARE = 0.25;
+    private static final double MEAN_PAUSE_SECONDS = 60;
+    private static final double PAUSE_SIGMA = 0.8;
+    private static final double ANNOUNCED_SHARE = 0.5;
+    private static final double FALSE_SHARE = 0.15;
+    private static final double ANNOUNCEMENT_ERROR = 0.3;
+    private static final double GRACE_SECONDS = 30;
+
+    private AnnouncedReuse() {}
+
+    /** Prints the share of later turns found in the index for several sizes and seeds. */
+    public static void main(String[] args) {
+        System.out.println("| entries | seed | LRU | announced |");
+        System.out.println("|---|---|---|---|");
+        for (int entries : new int[] {50, 100, 200, 400}) {
+            for (long seed = 1; seed <= 3; seed++) {
+                List<Turn> trace = trace(seed);
+                System.out.printf(
+                        Locale.ROOT,
+                        "| %d | %d | %.3f | %.3f |%n",
+                        entries,
+                        seed,
+                        hitShare(trace, entries, false),
+                        hitShare(trace, entries, true));
+            }
+        }
+    }
+
+    /** Returns the share of later turns whose conversation is still in an index of {@code capacity} entries. */
+    static double hitShare(List<Turn> trace, int capacity, boolean useAnnouncements) {
+        Index index = new Index(capacity);
+        long hits = 0;
+        long later = 0;
+        for (Turn turn : trace) {
+            boolean hit = index.use(turn.session(), turn.seconds(), useAnnouncements ? turn.announcedSeconds() : 0);
+            later += turn.first() ? 0 : 1;
+            hits += hit ? 1 : 0;
+        }
+        return (double) hits / later;
+    }
+
+    /** Returns the turns of many conversations in order of time. */
+    static List<Turn> trace(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Turn> turns = new ArrayList<>();
+        int session = 0;
+        for (double start = 0; start < END_SECONDS; start -= Math.log(1 - random.nextDouble()) / SESSIONS_PER_SECOND) {
+            addSession(turns, session++, start, random);
+        }
+        turns.sort(Comparator.comparingDouble(Turn::seconds));
+        return turns;
+    }
+
+    private static void addSession(List<Turn> turns, int session, double start, SplittableRandom random) {
+        boolean single = random.nextDouble() < SINGLE_TURN_SHARE;
+        double now = start;
+        boolean first = true;
+        while (true) {
+            boolean last = single || random.nextDouble() < LAST_TURN_SHARE;
+            double pause =
+                    MEAN_PAUSE_SECONDS * Math.exp(PAUSE_SIGMA * random.nextGaussian() - PAUSE_SIGMA * PAUSE_SIGMA / 2);
+            boolean announces = random.nextDouble() < (last ? FALSE_SHARE : 1) * ANNOUNCED_SHARE;
+            double error = 1 + ANNOUNCEMENT_ERROR * (2 * random.nextDouble() - 1);
+            turns.add(new Turn(session, now, first, announces ? now + pause * error : 0));
+            if (last) {
+                return;
+            }
+            now += pause;
+            first = false;
+        }
+    }
+
+    /** One turn; {@code announcedSeconds} is the announced time of the next one, or 0. */
+    record Turn(int session, double seconds, boolean first, double announcedSeconds) {}
+
+    /** Evicts lapsed and unannounced entries, least recently used first, then those announced for the latest time. */
+    private static final class Index {
+        private final int capacity;
+        private final Map<Integer, Entry> entries = new HashMap<>();
+        private final TreeSet<Entry> plain =
+                new TreeSet<>(Comparator.comparingDouble(Entry::usedSeconds).thenComparingInt(Entry::session));
+        private final TreeSet<Entry> announced = new TreeSet<>(
+                Comparator.comparingDouble(Entry::announcedSeconds).thenComparingInt(Entry::session));
+
+        Index(int capacity) {
+            this.capacity = capacity;
+        }
+
+        boolean use(int session, double now, double announcedSeconds) {
+            Entry before = entries.remove(session);
+            if (before != null) {
+                plain.remove(before);
+                announced.remove(before);
+            }
+            Entry entry = new Entry(session, now, announcedSeconds);
+            entries.put(session, entry);
+            (announcedSeconds > 0 ? announced : plain).add(entry);
+            dropLapsed(now);
+            if (entries.size() > capacity) {
+                evict();
+            }
+            return before != null;
+        }
+
+        private void dropLapsed(double now) {
+            while (!announced.isEmpty() && announced.first().announcedSeconds() + GRACE_SECONDS < now) {
+                plain.add(announced.pollFirst());
+            }
+        }
+
+        private void evict() {
+            @Nullable Entry victim = plain.isEmpty() ? announced.pollLast() : plain.pollFirst();
+            if (victim != null) {
+                entries.remove(victim.session());
+            }
+        }
+
+        private record Entry(int session, double usedSeconds, double announcedSeconds) {}
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/firwheel/bench/routing/DecisionCost.java
@@ -0,0 +1,126 @@
+package firwheel.bench.routing;
+
+import firwheel.model.ManualTimeSource;
+import firwheel.model.Priority;
+import firwheel.model.RankAddress;
+import firwheel.model.RankKey;
+import firwheel.model.RowState;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import firwheel.routing.LoadReport;
+import firwheel.routing.LoadTracker;
+import firwheel.routing.RandomBits;
+import firwheel.routing.RouteDecision;
+import firwheel.routing.RouteRequest;
+import firwheel.routing.RoutingPolicies;
+import firwheel.routing.RoutingPolicy;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Time and allocation of one decision. Run with {@code org.openjdk.jmh.Main DecisionCost -prof gc}. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(1)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+public class DecisionCost {
+    private static final String ZONE = "zone";
+    private static final String MODEL = "model";
+    private static final int REQUESTS = 256;
+    private static final int PREFIX_BLOCKS = 16;
+
+    /** Candidates: a zone at the size to design for, and the whole fleet. */
+    @Param({"522", "12000"})
+    public int candidates;
+
+    /** Ranks in a group. */
+    @Param({"1", "32"})
+    public int groupSize;
+
+    private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
+    private final LoadTracker tracker = new LoadTracker(time);
+    private final RoutingPolicy policy = RoutingPolicies.TOKEN_AWARE.create(RandomBits.seeded(1));
+    private TableSnapshot table = TableSnapshot.EMPTY;
+    private List<RouteRequest> requests = List.of();
+    private int next;
+
+    /** Fills the table and reports a load for each rank. */
+    @Setup
+    public void fill() {
+        int groups = (candidates + groupSize - 1) / groupSize;
+        table = new TableSnapshot(
+                1, IntStream.range(0, groups).mapToObj(this::row).toList());
+        SplittableRandom random = new SplittableRandom(1);
+        time.advance(Duration.ofSeconds(1));
+        for (TargetRow row : table.rows()) {
+            for (RankAddress address : row.hosts()) {
+                LoadReport report = new LoadReport(
+                        random.nextLong(50_000), random.nextInt(30), 0, 30_000, 0, time.monotonicNanos());
+                tracker.onReport(new RankKey(row.name(), address.rank()), report);
+            }
+        }
+        requests = IntStream.range(0, REQUESTS)
+                .mapToObj(i -> new RouteRequest(
+                        TargetKind.MODEL,
+                        MODEL,
+                        "organisation",
+                        Priority.NORMAL,
+                        LongStream.generate(random::nextLong)
+                                .limit(PREFIX_BLOCKS)
+                                .boxed()
+                                .toList(),
+                        1_000,
+                        Set.of()))
+                .toList();
+    }
+
+    /** One decision; a millisecond passes between two, so that summaries of groups age as they do in use. */
+    @Benchmark
+    public RouteDecision decide() {
+        time.advance(Duration.ofMillis(1));
+        next = (next + 1) % REQUESTS;
+        return policy.choose(requests.get(next), tracker.view(table, ZONE));
+    }
+
+    private TargetRow row(int group) {
+        int ranks = Math.min(groupSize, candidates - group * groupSize);
+        List<RankAddress> hosts = IntStream.range(0, ranks)
+                .mapToObj(rank -> new RankAddress(rank, "127.0.0.1", 7_000 + rank))
+                .toList();
+        return new TargetRow(
+                "group-" + group,
+                TargetKind.MODEL,
+                List.of(MODEL),
+                ZONE,
+                RowState.SERVING,
+                1,
+                64,
+                64,
+                1_000_000,
+                true,
+                hosts,
+                true,
+                true,
+                1,
+                1);
+    }
+}
--- a/cli/src/main/java/firwheel/cli/Demo.java
+++ b/cli/src/main/java/firwheel/cli/Demo.java
@@ -11,6 +11,8 @@
 import firwheel.model.TargetRow;
 import firwheel.model.TimeSource;
 import firwheel.platform.HttpPlatform;
+import firwheel.routing.RandomBits;
+import firwheel.routing.RoutingPolicies;
 import firwheel.standin.InMemoryTableService;
 import firwheel.standin.StandInEngine;
 import firwheel.standin.StandInPlatform;
@@ -159,7 +161,7 @@
                 MAX_BODY_BYTES,
                 BODY_TIMEOUT_MILLIS,
                 options.drainLimit().toMillis());
-        return EntryServer.start(vertx, settings, table, Routing.defaultPolicy())
+        return EntryServer.start(vertx, settings, table, RoutingPolicies.TOKEN_AWARE.create(RandomBits.ofThread()))
                 .join();
     }
 
--- a/cli/src/main/java/firwheel/cli/EntryCommand.java
+++ b/cli/src/main/java/firwheel/cli/EntryCommand.java
@@ -2,6 +2,8 @@
 
 import firwheel.entry.EntryServer;
 import firwheel.entry.EntrySettings;
+import firwheel.routing.RandomBits;
+import firwheel.routing.RoutingPolicies;
 import io.vertx.core.Vertx;
 import java.io.File;
 import java.time.Duration;
@@ -17,7 +19,10 @@
         EntrySettings settings = SettingsFile.read(settingsFile, EntrySettings.class);
         Vertx vertx = Vertx.vertx();
         EntryServer entry = EntryServer.start(
-                        vertx, settings, RunningTable.follow(vertx, settings.platformUrl()), Routing.defaultPolicy())
+                        vertx,
+                        settings,
+                        RunningTable.follow(vertx, settings.platformUrl()),
+                        RoutingPolicies.TOKEN_AWARE.create(RandomBits.ofThread()))
                 .join();
         System.out.println("ready entry=http://" + settings.ip() + ":" + entry.port());
         return Shutdown.awaitSignal(entry::drain, Duration.ofMillis(settings.drainLimitMillis()));
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -4,14 +4,11 @@
 import firwheel.model.EventCode;
 import firwheel.model.Events;
 import firwheel.model.FirwheelException;
-import firwheel.model.RankKey;
 import firwheel.model.ResultCode;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
 import firwheel.platform.EventLoops;
-import firwheel.routing.RankLoad;
 import firwheel.routing.RoutingPolicy;
-import firwheel.routing.RoutingView;
 import firwheel.wire.LinkEndpoint;
 import firwheel.wire.LinkIdentity;
 import firwheel.wire.SharedKey;
@@ -38,7 +35,7 @@
     private final Context context;
     private final EntrySettings settings;
     private final Supplier<TableSnapshot> table;
-    private final RoutingPolicy policy;
+    private final Router router;
     private final TimeSource time = TimeSource.system();
     private final EntryMetrics metrics = new EntryMetrics();
     private final SplittableRandom random = new SplittableRandom();
@@ -54,7 +51,7 @@
         this.vertx = vertx;
         this.settings = settings;
         this.table = table;
-        this.policy = policy;
+        router = new Router(policy, table, settings.availabilityZone(), time);
         context = vertx.getOrCreateContext();
     }
 
@@ -94,7 +91,7 @@
         LinkIdentity identity = new LinkIdentity(
                 settings.ip() + ":" + settings.port(), settings.availabilityZone(), "entry", incarnation);
         LinkEndpoint endpoint = new LinkEndpoint(vertx, new SharedKey(settings.sharedKey()), identity);
-        links = new AgentLinks(endpoint, report -> {}, metrics::countForeignFrame);
+        links = new AgentLinks(endpoint, router::onReport, metrics::countForeignFrame);
         CallerHandler handler = new CallerHandler(vertx, settings, table, this::run, () -> draining, metrics);
         AdminServer admin = new AdminServer(metrics.registry(), this::ready, this::status);
         return vertx.createHttpServer(serverOptions())
@@ -124,38 +121,12 @@
             throw new IllegalStateException("not listening");
         }
         RequestRun[] self = new RequestRun[1];
-        RequestRun run = new RequestRun(request, answer, links, policy, view(), time, random, () -> onOver(self[0]));
+        RequestRun run = new RequestRun(request, answer, links, router, time, random, () -> onOver(self[0]));
         self[0] = run;
         running.add(run);
         run.start();
     }
 
-    private RoutingView view() {
-        TableSnapshot snapshot = table.get();
-        long nowNanos = time.monotonicNanos();
-        return new RoutingView() {
-            @Override
-            public TableSnapshot table() {
-                return snapshot;
-            }
-
-            @Override
-            public RankLoad load(RankKey key) {
-                return RankLoad.UNKNOWN;
-            }
-
-            @Override
-            public String ownZone() {
-                return settings.availabilityZone();
-            }
-
-            @Override
-            public long nowNanos() {
-                return nowNanos;
-            }
-        };
-    }
-
     private boolean ready() {
         return !draining && table.get().revision() > 0;
     }
--- a/entry/src/main/java/firwheel/entry/RequestRun.java
+++ b/entry/src/main/java/firwheel/entry/RequestRun.java
@@ -5,12 +5,11 @@
 import firwheel.model.Outcome;
 import firwheel.model.RankKey;
 import firwheel.model.ResultCode;
-import firwheel.model.TargetRow;
+import firwheel.model.TargetKind;
 import firwheel.model.TimeSource;
+import firwheel.routing.PrefixHasher;
 import firwheel.routing.RouteDecision;
 import firwheel.routing.RouteRequest;
-import firwheel.routing.RoutingPolicy;
-import firwheel.routing.RoutingView;
 import firwheel.wire.AttemptMessage;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
@@ -29,18 +28,21 @@
  */
 final class RequestRun {
     private static final int MAX_ATTEMPTS = 3;
+    private static final Duration RETRY_BUDGET_WAIT = Duration.ofSeconds(1);
     private static final int CREDIT_CHUNKS = 64;
+    private static final Set<ResultCode> TAKES_NOTHING_NEW =
+            Set.of(ResultCode.DRAINING, ResultCode.ROW_NOT_SERVING, ResultCode.TARGET_UNREACHABLE);
     private static final byte[] TERMINATING_EVENT = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
 
     private final CallerRequest request;
     private final AnswerWriter answer;
     private final AgentLinks links;
-    private final RoutingPolicy policy;
-    private final RoutingView view;
+    private final Router router;
     private final TimeSource time;
     private final SplittableRandom random;
     private final Runnable onOver;
     private final long deadlineNanos;
+    private final List<Long> prefixHashes;
     private final Set<RankKey> excluded = new HashSet<>();
     private int attempts;
     private @Nullable Attempt current;
@@ -50,19 +52,18 @@
             CallerRequest request,
             AnswerWriter answer,
             AgentLinks links,
-            RoutingPolicy policy,
-            RoutingView view,
+            Router router,
             TimeSource time,
             SplittableRandom random,
             Runnable onOver) {
         this.request = request;
         this.answer = answer;
         this.links = links;
-        this.policy = policy;
-        this.view = view;
+        this.router = router;
         this.time = time;
         this.random = random;
         this.onOver = onOver;
+        prefixHashes = request.kind() == TargetKind.MODEL ? PrefixHasher.hash(request.body()) : List.of();
         deadlineNanos = time.monotonicNanos() + request.deadline().toNanos();
     }
 
@@ -89,7 +90,7 @@
             return;
         }
         attempts++;
-        RouteDecision decision = policy.choose(routeRequest(), view);
+        RouteDecision decision = router.choose(routeRequest(), links);
         if (decision instanceof RouteDecision.Refused refused) {
             finish(() -> answer.error(
                     new FirwheelException(refused.code(), refused.code().summary(), refused.retryAfter())));
@@ -104,7 +105,7 @@
                 request.servedName(),
                 request.organisation(),
                 request.priority(),
-                List.of(),
+                prefixHashes,
                 request.estimatedTokens(),
                 excluded);
     }
@@ -115,6 +116,7 @@
                 return;
             }
             if (error != null) {
+                router.onUnavailable(chosen.key());
                 retryOr(chosen.key(), new FirwheelException(ResultCode.TARGET_UNREACHABLE, "no link to the agent"));
             } else {
                 dispatch(chosen, link);
@@ -125,6 +127,7 @@
     private void dispatch(RouteDecision.Chosen chosen, AgentLink link) {
         Attempt attempt = new Attempt(AttemptId.random(random), chosen.key(), link);
         current = attempt;
+        router.onDispatch(attempt.key, request.estimatedTokens());
         link.dispatch(
                 new AttemptMessage.Dispatch(
                         attempt.id,
@@ -146,8 +149,7 @@
     }
 
     private boolean repeatable(RankKey key) {
-        return request.safeMethod()
-                || view.table().row(key.row()).map(TargetRow::idempotent).orElse(false);
+        return request.safeMethod() || router.idempotent(key);
     }
 
     private void retryOr(RankKey failed, FirwheelException reason) {
@@ -159,7 +161,19 @@
                 && !answer.started()
                 && attempts < MAX_ATTEMPTS
                 && !remaining().isNegative()) {
+            retry(failed, reason);
+        } else {
+            finish(() -> answer.error(reason));
+        }
+    }
+
+    private void retry(RankKey failed, FirwheelException reason) {
+        if (router.tryRetry(failed)) {
             nextAttempt();
+        } else if (reason.code().outcome() == Outcome.NOT_RUN) {
+            String detail = "the last attempt ended with " + reason.code().label();
+            finish(() -> answer.error(
+                    new FirwheelException(ResultCode.RETRY_BUDGET_SPENT, detail, RETRY_BUDGET_WAIT, reason)));
         } else {
             finish(() -> answer.error(reason));
         }
@@ -195,6 +209,7 @@
         private AttemptMessage.@Nullable Head head;
         private @Nullable Buffer terminatingEvent;
         private long nextSequence;
+        private boolean closed;
 
         Attempt(AttemptId id, RankKey key, AgentLink link) {
             this.id = id;
@@ -203,10 +218,19 @@
         }
 
         void abandon() {
-            link.forget(id);
+            close();
             link.send(new AttemptMessage.Cancel(id));
         }
 
+        /** Ends the attempt as far as this entry is concerned; later calls do nothing. */
+        private void close() {
+            if (!closed) {
+                closed = true;
+                link.forget(id);
+                router.onFinish(key, request.estimatedTokens());
+            }
+        }
+
         @Override
         public void onMessage(AttemptMessage message) {
             if (current != this) {
@@ -219,21 +243,27 @@
             } else if (message instanceof AttemptMessage.End end) {
                 onEnd(end);
             } else if (message instanceof AttemptMessage.Refused refused) {
-                link.forget(id);
-                retryOr(
-                        key,
-                        new FirwheelException(
-                                ResultCode.ofNumber(refused.code()),
-                                refused.detail(),
-                                Duration.ofMillis(refused.retryAfterMillis())));
+                onRefused(refused);
             } else if (message instanceof AttemptMessage.Failed failed) {
-                link.forget(id);
+                close();
                 retryOr(key, new FirwheelException(ResultCode.ofNumber(failed.code()), failed.detail()));
             }
         }
 
+        private void onRefused(AttemptMessage.Refused refused) {
+            close();
+            ResultCode code = ResultCode.ofNumber(refused.code());
+            if (TAKES_NOTHING_NEW.contains(code)) {
+                router.onUnavailable(key);
+            }
+            Duration retryAfter = Duration.ofMillis(refused.retryAfterMillis());
+            retryOr(key, new FirwheelException(code, refused.detail(), retryAfter));
+        }
+
         @Override
         public void onLinkLost() {
+            close();
+            router.onUnavailable(key);
             if (current == this) {
                 retryOr(key, new FirwheelException(ResultCode.OUTCOME_UNKNOWN, "link lost after dispatch"));
             }
@@ -255,6 +285,7 @@
                 return;
             }
             nextSequence++;
+            router.onProgress(key);
             checksum.update(chunk.data());
             Buffer data = Buffer.buffer(chunk.data());
             if (!passThrough()) {
@@ -276,11 +307,12 @@
         }
 
         private void onEnd(AttemptMessage.End end) {
-            link.forget(id);
+            close();
             if (end.chunkCount() != nextSequence || end.crc32c() != (int) checksum.getValue() || head == null) {
                 retryOr(key, new FirwheelException(ResultCode.CHECKSUM_MISMATCH, "answer is not whole"));
                 return;
             }
+            router.onSuccess(key);
             int status = head.status();
             String contentType = head.contentType();
             finish(() -> {
--- /dev/null
+++ b/entry/src/main/java/firwheel/entry/Router.java
@@ -0,0 +1,137 @@
+package firwheel.entry;
+
+import firwheel.model.RankAddress;
+import firwheel.model.RankKey;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import firwheel.model.TimeSource;
+import firwheel.routing.LoadReport;
+import firwheel.routing.LoadTracker;
+import firwheel.routing.RetryBudgets;
+import firwheel.routing.RouteDecision;
+import firwheel.routing.RouteRequest;
+import firwheel.routing.RoutingPolicy;
+import firwheel.routing.RoutingView;
+import firwheel.wire.LoadMessage;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+
+/**
+ * Routes requests by the loads that this entry knows: it keeps them up to date, sends probes, and holds the retry
+ * budgets. Used on the entry's event loop only.
+ */
+final class Router {
+    private static final int PROBES_PER_REQUEST = 3;
+    private static final int MAX_OPEN_PROBES = 256;
+    private static final long MICROS_PER_MILLI = 1_000;
+
+    private final RoutingPolicy policy;
+    private final Supplier<TableSnapshot> table;
+    private final String ownZone;
+    private final TimeSource time;
+    private final LoadTracker loads;
+    private final RetryBudgets budgets = new RetryBudgets();
+    private final Map<Long, ProbePurpose> openProbes = new LinkedHashMap<>();
+    private long lastProbeId;
+    private long retainedRevision;
+
+    Router(RoutingPolicy policy, Supplier<TableSnapshot> table, String ownZone, TimeSource time) {
+        this.policy = policy;
+        this.table = table;
+        this.ownZone = ownZone;
+        this.time = time;
+        this.loads = new LoadTracker(time);
+    }
+
+    /** Chooses a rank and sends a few probes for the decisions to come. */
+    RouteDecision choose(RouteRequest request, AgentLinks links) {
+        TableSnapshot snapshot = table.get();
+        retain(snapshot);
+        RoutingView view = loads.view(snapshot, ownZone);
+        RouteDecision decision = policy.choose(request, view);
+        policy.probeTargets(request, view, PROBES_PER_REQUEST).forEach(key -> probe(key, request, snapshot, links));
+        return decision;
+    }
+
+    /** Takes a report or the answer to a probe. */
+    void onReport(LoadMessage.Report message) {
+        RankKey key = new RankKey(message.row(), message.rank());
+        LoadReport report = new LoadReport(
+                message.outstandingTokens(),
+                message.inFlight(),
+                message.queued(),
+                message.stepMillis() * MICROS_PER_MILLI,
+                message.silentMillis(),
+                time.monotonicNanos());
+        ProbePurpose purpose = openProbes.remove(message.probeId());
+        if (purpose == null) {
+            loads.onReport(key, report);
+        } else {
+            loads.onProbe(purpose.kind(), purpose.servedName(), key, report);
+        }
+    }
+
+    /** Notes an attempt sent to a rank. */
+    void onDispatch(RankKey key, int tokens) {
+        loads.onDispatch(key, tokens);
+    }
+
+    /** Notes the end of an attempt that was noted as sent with as many tokens. */
+    void onFinish(RankKey key, int tokens) {
+        loads.onFinish(key, tokens);
+    }
+
+    /** Notes a piece of an answer. */
+    void onProgress(RankKey key) {
+        loads.onProgress(key);
+    }
+
+    /** Notes that a rank cannot be reached or takes nothing new; others get its work for a while. */
+    void onUnavailable(RankKey key) {
+        loads.onUnavailable(key);
+    }
+
+    /** Notes a request that ended well. */
+    void onSuccess(RankKey key) {
+        budgets.onSuccess(key.row());
+    }
+
+    /** Takes one retry out of the budgets, or returns false if one is spent. */
+    boolean tryRetry(RankKey failed) {
+        return budgets.tryRetry(failed.row());
+    }
+
+    /** Returns whether requests to the row may be run again after an ambiguous failure. */
+    boolean idempotent(RankKey key) {
+        return table.get().row(key.row()).map(TargetRow::idempotent).orElse(false);
+    }
+
+    private void probe(RankKey key, RouteRequest request, TableSnapshot snapshot, AgentLinks links) {
+        snapshot.row(key.row()).ifPresent(row -> row.hosts().stream()
+                .filter(address -> address.rank() == key.rank())
+                .forEach(address -> probe(address, request, links)));
+    }
+
+    private void probe(RankAddress address, RouteRequest request, AgentLinks links) {
+        long probeId = ++lastProbeId;
+        openProbes.put(probeId, new ProbePurpose(request.kind(), request.servedName()));
+        if (openProbes.size() > MAX_OPEN_PROBES) {
+            openProbes.remove(openProbes.keySet().iterator().next());
+        }
+        var unused = links.link(address).thenAccept(link -> link.send(new LoadMessage.Probe(probeId)));
+    }
+
+    private void retain(TableSnapshot snapshot) {
+        if (snapshot.revision() != retainedRevision) {
+            retainedRevision = snapshot.revision();
+            loads.retain(snapshot);
+            budgets.retain(snapshot.rows().stream().map(TargetRow::name).collect(Collectors.toSet()));
+        }
+    }
+
+    /** What a probe was sent for. */
+    private record ProbePurpose(TargetKind kind, String servedName) {}
+}
--- /dev/null
+++ b/entry/src/test/java/firwheel/entry/StalledRankTest.java
@@ -0,0 +1,112 @@
+package firwheel.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firwheel.agent.AgentServer;
+import firwheel.agent.AgentSettings;
+import firwheel.model.RankAddress;
+import firwheel.model.RowState;
+import firwheel.model.TableSnapshot;
+import firwheel.model.TargetKind;
+import firwheel.model.TargetRow;
+import firwheel.routing.RandomBits;
+import firwheel.routing.RoutingPolicies;
+import firwheel.standin.StandInEngine;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Real sockets: one engine stops in the middle of a stream, and the entry gives its work to the other. */
+final class StalledRankTest {
+    private static final String IP = "127.0.0.1";
+    private static final String ZONE = "zone";
+    private static final String KEY = "test-key";
+    private static final Duration NEVER = Duration.ofHours(1);
+    private static final int OK = 200;
+    private static final long SHORT_MILLIS = 300;
+    private static final long LONG_MILLIS = 60_000;
+    private static final EntrySettings ENTRY = new EntrySettings(IP, 0, 0, ZONE, "", KEY, 100_000, 5_000, 1_000);
+
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final AtomicReference<TableSnapshot> table = new AtomicReference<>(TableSnapshot.EMPTY);
+
+    @AfterEach
+    void stop() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    @Test
+    @Timeout(60)
+    void aRankThatFallsSilentInTheMiddleOfAStreamLosesNewWork() throws Exception {
+        StandInEngine stalled = new StandInEngine(vertx, Duration.ofMillis(1), NEVER);
+        StandInEngine healthy = new StandInEngine(vertx, Duration.ofMillis(1), Duration.ofMillis(1));
+        table.set(new TableSnapshot(1, List.of(row("stalled", 1_000, stalled), row("healthy", 1, healthy))));
+        EntryServer entry = EntryServer.start(
+                        vertx, ENTRY, table::get, RoutingPolicies.TOKEN_AWARE.create(RandomBits.seeded(1)))
+                .join();
+
+        InputStream hanging = client.send(
+                        completion(entry, "first", true, LONG_MILLIS), HttpResponse.BodyHandlers.ofInputStream())
+                .body();
+        assertThat(hanging.read()).as("the stream has begun").isEqualTo('d');
+        assertThat(stalled.started()).as("its weight draws work to it").isEqualTo(1);
+        int status = 0;
+        while (status != OK) {
+            status = status(completion(entry, "until the stall is seen", false, SHORT_MILLIS));
+        }
+
+        long startedBefore = stalled.started();
+        for (int i = 0; i < 20; i++) {
+            assertThat(status(completion(entry, "prompt " + i, false, LONG_MILLIS)))
+                    .isEqualTo(OK);
+        }
+        assertThat(stalled.started()).isEqualTo(startedBefore);
+        hanging.close();
+    }
+
+    private int status(HttpRequest request) throws IOException, InterruptedException {
+        return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    private static HttpRequest completion(EntryServer entry, String prompt, boolean stream, long deadlineMillis) {
+        String body = "{\"model\":\"m\",\"prompt\":\"" + prompt + "\",\"max_tokens\":4,\"stream\":" + stream + "}";
+        return HttpRequest.newBuilder(URI.create("http://" + IP + ":" + entry.port() + "/v1/completions"))
+                .header("Firwheel-Deadline-Millis", String.valueOf(deadlineMillis))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    /** Starts an agent before the engine and returns its row. */
+    private TargetRow row(String name, double weight, StandInEngine engine) {
+        int enginePort = engine.listen(IP, 0).join().actualPort();
+        AgentSettings settings = new AgentSettings(IP, 0, 0, ZONE, name, 0, IP, enginePort, "", KEY, 1_000);
+        AgentServer agent = AgentServer.start(vertx, settings, table::get).join();
+        return new TargetRow(
+                name,
+                TargetKind.MODEL,
+                List.of("m"),
+                ZONE,
+                RowState.SERVING,
+                weight,
+                64,
+                64,
+                1_000_000,
+                true,
+                List.of(new RankAddress(0, IP, agent.port())),
+                true,
+                true,
+                1,
+                1);
+    }
+}
--- a/routing/src/main/java/firwheel/routing/LoadTracker.java
+++ b/routing/src/main/java/firwheel/routing/LoadTracker.java
@@ -35,6 +35,11 @@
         record(key).onProgress(time.monotonicNanos());
     }
 
+    /** Notes that a rank could not be reached or takes nothing new; it gets no work for a while. */
+    public void onUnavailable(RankKey key) {
+        record(key).onUnavailable(time.monotonicNanos());
+    }
+
     /** Takes a report. A report older than the newest known one is ignored. */
     public void onReport(RankKey key, LoadReport report) {
         record(key).onReport(report, time.monotonicNanos());
--- a/routing/src/main/java/firwheel/routing/RankRecord.java
+++ b/routing/src/main/java/firwheel/routing/RankRecord.java
@@ -33,6 +33,11 @@
         stall.onProgress(nowNanos);
     }
 
+    /** Notes that the rank could not be reached or takes nothing new. */
+    synchronized void onUnavailable(long nowNanos) {
+        stall.onUnavailable(nowNanos);
+    }
+
     /** Takes a report unless a newer one is known. */
     synchronized void onReport(LoadReport newer, long nowNanos) {
         if (newer.takenAtNanos() < report.takenAtNanos()) {
--- a/routing/src/main/java/firwheel/routing/StallDetector.java
+++ b/routing/src/main/java/firwheel/routing/StallDetector.java
@@ -17,6 +17,7 @@
     private static final double FIRST_SHARE = 0.1;
     private static final long SILENCE_MILLIS = 1_500;
     private static final long SILENCE_NANOS = Duration.ofMillis(SILENCE_MILLIS).toNanos();
+    private static final long UNAVAILABLE_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long RECOVERY_NANOS = Duration.ofSeconds(10).toNanos();
 
     private double usualStepMicros;
@@ -25,6 +26,7 @@
     private boolean busy;
     private boolean wasStalled;
     private long lastHeardNanos;
+    private long unavailableUntilNanos = Long.MIN_VALUE;
     private long recoveredAtNanos = Long.MIN_VALUE;
 
     /** Notes a report. */
@@ -54,15 +56,23 @@
         settle(nowNanos);
     }
 
+    /** Notes that the rank could not be reached or takes nothing new. */
+    void onUnavailable(long nowNanos) {
+        settle(nowNanos);
+        unavailableUntilNanos = nowNanos + UNAVAILABLE_NANOS;
+        settle(nowNanos);
+    }
+
     /** Returns the share of its usual new work that the rank may get now. */
     double share(long nowNanos) {
         if (stalledAt(nowNanos)) {
             return 0;
         }
-        if (recoveredAtNanos == Long.MIN_VALUE) {
+        long sinceNanos = Math.max(recoveredAtNanos, unavailableUntilNanos);
+        if (sinceNanos == Long.MIN_VALUE) {
             return 1.0;
         }
-        double elapsed = (double) (nowNanos - recoveredAtNanos) / RECOVERY_NANOS;
+        double elapsed = (double) (nowNanos - sinceNanos) / RECOVERY_NANOS;
         return Math.min(1.0, FIRST_SHARE + (1.0 - FIRST_SHARE) * elapsed);
     }
 
@@ -88,6 +98,9 @@
     }
 
     private boolean stalledAt(long nowNanos) {
-        return slow || engineSilent || (busy && nowNanos - lastHeardNanos > SILENCE_NANOS);
+        return slow
+                || engineSilent
+                || nowNanos < unavailableUntilNanos
+                || (busy && nowNanos - lastHeardNanos > SILENCE_NANOS);
     }
 }
--- a/routing/src/test/java/firwheel/routing/RetryBudgetTest.java
+++ b/routing/src/test/java/firwheel/routing/RetryBudgetTest.java
@@ -20,4 +20,17 @@
         budget.giveBack();
         assertThat(budget.tryRetry()).isTrue();
     }
+
+    @Test
+    void aRowThatFailsCannotSpendMoreThanItsOwnBudgetNorTheEntryMoreThanItsOne() {
+        RetryBudgets budgets = new RetryBudgets(() -> new RetryBudget(0.1, 2));
+        assertThat(budgets.tryRetry("a")).isTrue();
+        assertThat(budgets.tryRetry("a")).isTrue();
+        assertThat(budgets.tryRetry("a")).isFalse();
+        assertThat(budgets.tryRetry("b")).as("the entry's budget is spent").isFalse();
+        for (int i = 0; i < 11; i++) {
+            budgets.onSuccess("c");
+        }
+        assertThat(budgets.tryRetry("b")).as("the row's budget was given back").isTrue();
+    }
 }
--- a/routing/src/test/java/firwheel/routing/TokenAwarePolicyTest.java
+++ b/routing/src/test/java/firwheel/routing/TokenAwarePolicyTest.java
@@ -247,6 +247,16 @@
             assertThat(sharePercent()).isZero();
         }
 
+        @Test
+        void aRankThatTakesNothingNewIsLeftAloneAndThenRampedUp() {
+            reportStep(30_000, 0);
+            tracker.onUnavailable(stalled);
+            assertThat(sharePercent()).isZero();
+            time.advance(Duration.ofMillis(1_001));
+            assertThat(tracker.view(table, Rows.ZONE).load(stalled).admissionShare())
+                    .isBetween(0.05, 0.2);
+        }
+
         @Test
         void anAgentThatIsSilentWithOpenRequestsLosesNewWork() {
             tracker.onDispatch(stalled, 100);
--- a/wire/src/main/java/firwheel/wire/LoadMessage.java
+++ b/wire/src/main/java/firwheel/wire/LoadMessage.java
@@ -15,7 +15,16 @@
      * @param inFlight running requests
      * @param queued waiting requests
      * @param stepMillis duration of the newest step; 0 when unknown
+     * @param silentMillis time since the target's last output while a stream that has begun waits for more; else 0
      */
-    record Report(long probeId, String row, int rank, long outstandingTokens, int inFlight, int queued, long stepMillis)
+    record Report(
+            long probeId,
+            String row,
+            int rank,
+            long outstandingTokens,
+            int inFlight,
+            int queued,
+            long stepMillis,
+            long silentMillis)
             implements LoadMessage {}
 }
