--- a/cli/src/main/java/firwheel/cli/EntryCommand.java
+++ b/cli/src/main/java/firwheel/cli/EntryCommand.java
@@ -16,7 +16,7 @@
 
     @Override
     public ExitCode run() {
-        EntrySettings settings = SettingsFile.read(settingsFile, EntrySettings.class);
+        EntrySettings settings = SettingsFile.readAndApply(settingsFile, SettingsRole.ENTRY, EntrySettings.class);
         Vertx vertx = Vertx.vertx();
         EntryServer entry = EntryServer.start(
                         vertx,
--- a/entry/src/test/java/firwheel/entry/StalledRankTest.java
+++ b/entry/src/test/java/firwheel/entry/StalledRankTest.java
@@ -35,7 +35,8 @@
     private static final int OK = 200;
     private static final long SHORT_MILLIS = 300;
     private static final long LONG_MILLIS = 60_000;
-    private static final EntrySettings ENTRY = new EntrySettings(IP, 0, 0, ZONE, "", KEY, 100_000, 5_000, 1_000);
+    private static final EntrySettings ENTRY =
+            new EntrySettings(IP, 0, 0, 0, ZONE, "", List.of(), KEY, null, 100_000, 5_000, 60_000, 1_000);
 
     private final Vertx vertx = Vertx.vertx();
     private final HttpClient client = HttpClient.newHttpClient();
@@ -90,7 +91,8 @@
     /** Starts an agent before the engine and returns its row. */
     private TargetRow row(String name, double weight, StandInEngine engine) {
         int enginePort = engine.listen(IP, 0).join().actualPort();
-        AgentSettings settings = new AgentSettings(IP, 0, 0, ZONE, name, 0, IP, enginePort, "", KEY, 1_000);
+        AgentSettings settings =
+                new AgentSettings(IP, 0, 0, ZONE, name, 0, IP, enginePort, "", List.of(), KEY, null, 1_000);
         AgentServer agent = AgentServer.start(vertx, settings, table::get).join();
         return new TargetRow(
                 name,
