--- a/cli/src/main/java/firwheel/cli/EntryCommand.java
+++ b/cli/src/main/java/firwheel/cli/EntryCommand.java
@@ -21,7 +21,7 @@
         EntryServer entry = EntryServer.start(
                         vertx,
                         settings,
-                        RunningTable.follow(vertx, settings.platformUrl()),
+                        RunningTable.sources(vertx, settings),
                         RoutingPolicies.TOKEN_AWARE.create(RandomBits.ofThread()))
                 .join();
         System.out.println("ready entry=http://" + settings.ip() + ":" + entry.port());
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -4,9 +4,13 @@
 import firwheel.model.EventCode;
 import firwheel.model.Events;
 import firwheel.model.FirwheelException;
+import firwheel.model.RankAddress;
 import firwheel.model.ResultCode;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
+import firwheel.peers.ControlThread;
+import firwheel.peers.DeferredTable;
+import firwheel.peers.TableLinks;
 import firwheel.platform.EventLoops;
 import firwheel.routing.RoutingPolicy;
 import firwheel.wire.LinkEndpoint;
@@ -14,8 +18,8 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import java.util.HashSet;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -26,8 +30,6 @@
 
 /** The process that takes requests from callers. One event loop carries its traffic. */
 public final class EntryServer {
-    private static final int MAX_HEADER_BYTES = 16 * 1024;
-    private static final int IDLE_CONNECTION_SECONDS = 900;
     private static final Logger logger = LoggerFactory.getLogger(EntryServer.class);
 
     private final Vertx vertx;
@@ -63,6 +65,38 @@
         });
     }
 
+    /** Starts an entry that keeps its table up to date by the platform and its peers. */
+    public static CompletableFuture<EntryServer> start(
+            Vertx vertx, EntrySettings settings, TableLinks.Sources sources, RoutingPolicy policy) {
+        return EventLoops.start(vertx, () -> {
+            DeferredTable table = new DeferredTable();
+            EntryServer entry = new EntryServer(vertx, settings, table, policy);
+            return entry.listen().thenCompose(done -> entry.joinPeers(sources)).thenApply(tables -> {
+                table.set(tables);
+                return entry;
+            });
+        });
+    }
+
+    private CompletableFuture<TableLinks> joinPeers(TableLinks.Sources sources) {
+        AgentLinks agentLinks = links();
+        TableLinks tables = new TableLinks(
+                context,
+                agentLinks.endpoint(),
+                ControlThread.start(),
+                sources,
+                (ip, port) -> agentLinks.link(new RankAddress(0, ip, port)),
+                new Random());
+        agentLinks.carryTables(tables);
+        tables.start();
+        return settings.linkPort() == 0
+                ? CompletableFuture.completedFuture(tables)
+                : agentLinks
+                        .endpoint()
+                        .listen(settings.ip(), settings.linkPort(), tables::adopt)
+                        .thenApply(server -> tables);
+    }
+
     /** Returns the port for callers. */
     public int port() {
         return callerServer == null ? settings.port() : callerServer.actualPort();
@@ -87,17 +121,13 @@
     }
 
     private CompletableFuture<?> listen() {
-        LinkIdentity identity = new LinkIdentity(
-                settings.ip() + ":" + settings.port(), settings.availabilityZone(), "entry", incarnation);
+        LinkIdentity identity =
+                new LinkIdentity(settings.ip() + ":" + linkPort(), settings.availabilityZone(), "entry", incarnation);
         LinkEndpoint endpoint = new LinkEndpoint(vertx, settings.linkSecurity(), identity);
         links = new AgentLinks(endpoint, router::onReport, metrics::countForeignFrame);
         CallerHandler handler = new CallerHandler(vertx, settings, table, this::run, () -> draining, metrics);
         AdminServer admin = new AdminServer(metrics.registry(), this::ready, this::status);
-        return vertx.createHttpServer(serverOptions())
-                .requestHandler(handler::handle)
-                .listen(settings.port(), settings.ip())
-                .toCompletionStage()
-                .toCompletableFuture()
+        return CallerServer.listen(vertx, settings, metrics, handler::handle)
                 .thenCompose(server -> {
                     callerServer = server;
                     return admin.listen(vertx, settings.ip(), settings.adminPort());
@@ -108,24 +138,26 @@
                 });
     }
 
-    private static HttpServerOptions serverOptions() {
-        return new HttpServerOptions()
-                .setMaxHeaderSize(MAX_HEADER_BYTES)
-                .setIdleTimeout(IDLE_CONNECTION_SECONDS)
-                .setTcpNoDelay(true);
-    }
-
     private void run(CallerRequest request, AnswerWriter answer) {
-        if (links == null) {
-            throw new IllegalStateException("not listening");
-        }
+        AgentLinks agentLinks = links();
         RequestRun[] self = new RequestRun[1];
-        RequestRun run = new RequestRun(request, answer, links, router, time, random, () -> onOver(self[0]));
+        RequestRun run = new RequestRun(request, answer, agentLinks, router, time, random, () -> onOver(self[0]));
         self[0] = run;
         running.add(run);
         run.start();
     }
 
+    private AgentLinks links() {
+        if (links == null) {
+            throw new IllegalStateException("not listening");
+        }
+        return links;
+    }
+
+    private int linkPort() {
+        return settings.linkPort() == 0 ? settings.port() : settings.linkPort();
+    }
+
     private boolean ready() {
         return !draining && table.get().revision() > 0;
     }
--- a/entry/src/main/java/firwheel/entry/EntrySettings.java
+++ b/entry/src/main/java/firwheel/entry/EntrySettings.java
@@ -12,7 +12,7 @@
  *
  * @param ip IP number to listen on
  * @param port HTTP port for callers; 0 picks a free one
- * @param linkPort TCP port for links from peers; 0 picks a free one
+ * @param linkPort TCP port for links from other entries, the same on all; 0 takes none
  * @param adminPort HTTP port for metrics, health and status; 0 picks a free one
  * @param availabilityZone zone of the host
  * @param platformUrl address of the platform, such as {@code http://127.0.0.1:8090}
--- a/entry/src/main/java/firwheel/entry/Router.java
+++ b/entry/src/main/java/firwheel/entry/Router.java
@@ -14,6 +14,7 @@
 import firwheel.routing.RoutingPolicy;
 import firwheel.routing.RoutingView;
 import firwheel.wire.LoadMessage;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Supplier;
@@ -28,6 +29,9 @@
     private static final int MAX_OPEN_PROBES = 256;
     private static final long MICROS_PER_MILLI = 1_000;
 
+    /** Age of a report on arrival; attempts sent later than it was taken are not in it. */
+    private static final long REPORT_TRAVEL_NANOS = Duration.ofMillis(1).toNanos();
+
     private final RoutingPolicy policy;
     private final Supplier<TableSnapshot> table;
     private final String ownZone;
@@ -65,7 +69,7 @@
                 message.queued(),
                 message.stepMillis() * MICROS_PER_MILLI,
                 message.silentMillis(),
-                time.monotonicNanos());
+                time.monotonicNanos() - REPORT_TRAVEL_NANOS);
         ProbePurpose purpose = openProbes.remove(message.probeId());
         if (purpose == null) {
             loads.onReport(key, report);
@@ -112,16 +116,22 @@
     private void probe(RankKey key, RouteRequest request, TableSnapshot snapshot, AgentLinks links) {
         snapshot.row(key.row()).ifPresent(row -> row.hosts().stream()
                 .filter(address -> address.rank() == key.rank())
-                .forEach(address -> probe(address, request, links)));
+                .forEach(address -> probe(key, address, request, links)));
     }
 
-    private void probe(RankAddress address, RouteRequest request, AgentLinks links) {
+    private void probe(RankKey key, RankAddress address, RouteRequest request, AgentLinks links) {
         long probeId = ++lastProbeId;
         openProbes.put(probeId, new ProbePurpose(request.kind(), request.servedName()));
         if (openProbes.size() > MAX_OPEN_PROBES) {
             openProbes.remove(openProbes.keySet().iterator().next());
         }
-        var unused = links.link(address).thenAccept(link -> link.send(new LoadMessage.Probe(probeId)));
+        var unused = links.link(address).whenComplete((link, error) -> {
+            if (error != null) {
+                loads.onUnavailable(key);
+            } else {
+                link.send(new LoadMessage.Probe(probeId));
+            }
+        });
     }
 
     private void retain(TableSnapshot snapshot) {
--- a/entry/src/test/java/firwheel/entry/StalledRankTest.java
+++ b/entry/src/test/java/firwheel/entry/RouterTest.java
@@ -15,6 +15,8 @@
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -26,8 +28,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Real sockets: one engine stops in the middle of a stream, and the entry gives its work to the other. */
-final class StalledRankTest {
+/** Faults of a rank over real sockets: the entry gives its work to the other. */
+final class RouterTest {
     private static final String IP = "127.0.0.1";
     private static final String ZONE = "zone";
     private static final String KEY = "test-key";
@@ -76,6 +78,27 @@
         hanging.close();
     }
 
+    @Test
+    @Timeout(60)
+    void aRankThatCannotBeReachedCostsNoCallerItsAnswer() throws Exception {
+        StandInEngine healthy = new StandInEngine(vertx, Duration.ofMillis(1), Duration.ofMillis(1));
+        int closedPort;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            closedPort = socket.getLocalPort();
+        }
+        TargetRow dead = row("dead", 1_000, closedPort);
+        table.set(new TableSnapshot(1, List.of(dead, row("healthy", 1, healthy))));
+        EntryServer entry = EntryServer.start(
+                        vertx, ENTRY, table::get, RoutingPolicies.TOKEN_AWARE.create(RandomBits.seeded(1)))
+                .join();
+
+        for (int i = 0; i < 20; i++) {
+            assertThat(status(completion(entry, "prompt " + i, false, LONG_MILLIS)))
+                    .isEqualTo(OK);
+        }
+        assertThat(healthy.started()).isEqualTo(20);
+    }
+
     private int status(HttpRequest request) throws IOException, InterruptedException {
         return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
     }
@@ -93,7 +116,13 @@
         int enginePort = engine.listen(IP, 0).join().actualPort();
         AgentSettings settings =
                 new AgentSettings(IP, 0, 0, ZONE, name, 0, IP, enginePort, "", List.of(), KEY, null, 1_000);
-        AgentServer agent = AgentServer.start(vertx, settings, table::get).join();
+        return row(
+                name,
+                weight,
+                AgentServer.start(vertx, settings, table::get).join().port());
+    }
+
+    private static TargetRow row(String name, double weight, int agentPort) {
         return new TargetRow(
                 name,
                 TargetKind.MODEL,
@@ -105,7 +134,7 @@
                 64,
                 1_000_000,
                 true,
-                List.of(new RankAddress(0, IP, agent.port())),
+                List.of(new RankAddress(0, IP, agentPort)),
                 true,
                 true,
                 1,
