Merge routing into admission's request path

Change: the lifecycle asks the router for a rank and for retries per row; the agent reports the gate's load before a piece when it has changed, and each half second; exchanges note their tokens once when sent and once when closed.

--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -1,7 +1,6 @@
 package firwheel.agent;
 
 import firwheel.admin.AdminServer;
-import firwheel.admission.GateLoad;
 import firwheel.model.EventCode;
 import firwheel.model.Events;
 import firwheel.model.ResultCode;
@@ -55,6 +54,7 @@
     private final long incarnation = new SplittableRandom().nextLong();
     private final TimeSource time = TimeSource.system();
     private final AttemptHandler attempts;
+    private final LoadReporter loads;
     private final Set<Link> links = new HashSet<>();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter dispatches = Counter.builder()
@@ -74,9 +74,15 @@
         this.settings = settings;
         this.table = table;
         context = vertx.getOrCreateContext();
-        attempts = new AttemptHandler(settings, incarnation, table, time, this::execute, result -> dispatches
-                .labelValues(result)
-                .inc());
+        attempts = new AttemptHandler(
+                settings,
+                incarnation,
+                table,
+                time,
+                this::execute,
+                result -> dispatches.labelValues(result).inc(),
+                this::beforeChunk);
+        loads = new LoadReporter(settings.row(), settings.rank(), time, attempts::load, attempts::expectsOutput);
         targetClient = vertx.createHttpClient(
                 new HttpClientOptions().setConnectTimeout(1_000),
                 new PoolOptions().setHttp1MaxSize(MAX_TARGET_CONNECTIONS));
@@ -164,6 +170,7 @@
                     adminServer = server;
                     vertx.setPeriodic(TICK_MILLIS, timer -> tick());
                     vertx.setPeriodic(CLOCK_MILLIS, timer -> sendClock());
+                    vertx.setPeriodic(LoadReporter.INTERVAL_MILLIS, timer -> loads.reportTo(attempts.openLinks()));
                     Events.log(logger, EventCode.PROCESS_STARTED, "role", "agent", "row", settings.row());
                 });
     }
@@ -196,6 +203,7 @@
 
     private void onLinkClosed(Link link, @Nullable TableLinks carried) {
         links.remove(link);
+        loads.forget(link);
         attempts.onLinkClosed(link);
         if (carried != null) {
             carried.detach(link);
@@ -207,16 +215,14 @@
             attempts.onMessage(link, attemptMessage);
             completeDrain();
         } else if (message instanceof LoadMessage.Probe probe) {
-            link.send(report(probe.probeId()));
+            link.send(loads.report(probe.probeId()));
         } else if (tables != null) {
             tables.handle(link, message);
         }
     }
 
-    private LoadMessage.Report report(long probeId) {
-        GateLoad load = attempts.load();
-        return new LoadMessage.Report(
-                probeId, settings.row(), settings.rank(), load.outstandingTokens(), load.inFlight(), load.queued(), 0);
+    private void beforeChunk(Link link) {
+        loads.onOutput(link);
     }
 
     private AttemptExecution execute(
--- a/agent/src/main/java/firwheel/agent/AttemptStream.java
+++ b/agent/src/main/java/firwheel/agent/AttemptStream.java
@@ -8,6 +8,7 @@
 import firwheel.model.ResultCode;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,14 +18,17 @@
 final class AttemptStream {
     private final AttemptId attempt;
     private final StreamBuffer buffer;
+    private final Consumer<Link> beforeChunk;
     private @Nullable Link link;
     private long credits;
     private long nextToSend;
     private boolean headSent;
     private boolean endSent;
 
-    AttemptStream(AttemptId attempt, StreamBuffer buffer) {
+    /** Creates a stream; {@code beforeChunk} runs before each piece that is sent over a link. */
+    AttemptStream(AttemptId attempt, StreamBuffer buffer, Consumer<Link> beforeChunk) {
         this.attempt = attempt;
+        this.beforeChunk = beforeChunk;
         this.buffer = buffer;
     }
 
@@ -117,6 +121,9 @@
             }
             credits--;
             nextToSend = chunk.sequence() + 1;
+            if (link != null) {
+                beforeChunk.accept(link);
+            }
             send(new AttemptMessage.Chunk(attempt, chunk.sequence(), chunk.payload()));
         }
     }
--- a/entry/src/main/java/firwheel/entry/AttemptExchange.java
+++ b/entry/src/main/java/firwheel/entry/AttemptExchange.java
@@ -52,6 +52,7 @@
     private long admitByMillis;
     private int fences;
     private int withheldCredits;
+    private int loadTokens;
     private boolean over;
 
     AttemptExchange(AttemptId id, RankKey key, RankAddress address, RunContext context, Events events) {
@@ -77,6 +78,8 @@
         link = newLink;
         incarnation = newLink.agentIncarnation();
         admitByMillis = newLink.toAgentMillis(nowMillis) + ADMIT_WINDOW_MILLIS;
+        loadTokens = request.estimatedTokens();
+        context.router().onDispatch(key, loadTokens);
         newLink.register(id, this);
         newLink.announceTable();
         newLink.send(new AttemptMessage.Dispatch(
@@ -148,7 +151,13 @@
 
     /** Ends the exchange without a word. */
     void close() {
+        if (over) {
+            return;
+        }
         over = true;
+        if (loadTokens > 0) {
+            context.router().onFinish(key, loadTokens);
+        }
         if (link != null) {
             link.forget(id);
         }
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -6,7 +6,6 @@
 import firwheel.model.EventCode;
 import firwheel.model.Events;
 import firwheel.model.RankAddress;
-import firwheel.model.RankKey;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
 import firwheel.peers.ControlThread;
@@ -15,10 +14,7 @@
 import firwheel.platform.EventLoops;
 import firwheel.platform.HttpPlatform;
 import firwheel.platform.TableService;
-import firwheel.routing.RankLoad;
-import firwheel.routing.RetryBudget;
 import firwheel.routing.RoutingPolicy;
-import firwheel.routing.RoutingView;
 import firwheel.wire.LinkEndpoint;
 import firwheel.wire.LinkIdentity;
 import io.vertx.core.Context;
@@ -41,8 +37,6 @@
 public final class EntryServer {
     private static final long LINK_CHECK_MILLIS = 1_000;
     private static final long FLUSH_MILLIS = 500;
-    private static final double RETRIES_PER_SUCCESS = 0.1;
-    private static final double MAX_SAVED_RETRIES = 20;
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final Logger logger = LoggerFactory.getLogger(EntryServer.class);
 
@@ -50,7 +44,7 @@
     private final Context context;
     private final EntrySettings settings;
     private final Supplier<TableSnapshot> table;
-    private final RoutingPolicy policy;
+    private final Router router;
     private final TimeSource time = TimeSource.system();
     private final EntryMetrics metrics = new EntryMetrics();
     private final SecureRandom tokenRandom = new SecureRandom();
@@ -68,7 +62,7 @@
         this.vertx = vertx;
         this.settings = settings;
         this.table = table;
-        this.policy = policy;
+        router = new Router(policy, table, settings.availabilityZone(), time);
         context = vertx.getOrCreateContext();
     }
 
@@ -145,19 +139,10 @@
         LinkIdentity identity =
                 new LinkIdentity(settings.ip() + ":" + linkPort(), settings.availabilityZone(), "entry", incarnation);
         LinkEndpoint endpoint = new LinkEndpoint(vertx, settings.linkSecurity(), identity);
-        AgentLinks agentLinks = new AgentLinks(endpoint, time, report -> {}, metrics::countForeignFrame);
+        AgentLinks agentLinks = new AgentLinks(endpoint, time, router::onReport, metrics::countForeignFrame);
         links = agentLinks;
         vertx.setPeriodic(LINK_CHECK_MILLIS, timer -> agentLinks.closeSilent());
-        runContext = new RunContext(
-                vertx,
-                agentLinks,
-                policy,
-                this::view,
-                claims(),
-                new RetryBudget(RETRIES_PER_SUCCESS, MAX_SAVED_RETRIES),
-                time,
-                random,
-                metrics::countForeignFrame);
+        runContext = new RunContext(vertx, agentLinks, router, claims(), time, random, metrics::countForeignFrame);
         CallerHandler handler = new CallerHandler(vertx, settings, table, this::run, () -> draining, metrics);
         AdminServer admin = new AdminServer(metrics.registry(), this::ready, this::status);
         return CallerServer.listen(vertx, settings, metrics, handler::handle)
@@ -203,32 +188,6 @@
         return settings.linkPort() == 0 ? settings.port() : settings.linkPort();
     }
 
-    private RoutingView view() {
-        TableSnapshot snapshot = table.get();
-        long nowNanos = time.monotonicNanos();
-        return new RoutingView() {
-            @Override
-            public TableSnapshot table() {
-                return snapshot;
-            }
-
-            @Override
-            public RankLoad load(RankKey key) {
-                return RankLoad.UNKNOWN;
-            }
-
-            @Override
-            public String ownZone() {
-                return settings.availabilityZone();
-            }
-
-            @Override
-            public long nowNanos() {
-                return nowNanos;
-            }
-        };
-    }
-
     private boolean ready() {
         return !draining && table.get().revision() > 0;
     }
--- a/entry/src/main/java/firwheel/entry/RequestRun.java
+++ b/entry/src/main/java/firwheel/entry/RequestRun.java
@@ -16,9 +16,10 @@
 import firwheel.model.Outcome;
 import firwheel.model.RankKey;
 import firwheel.model.ResultCode;
+import firwheel.model.TargetKind;
+import firwheel.routing.PrefixHasher;
 import firwheel.routing.RouteDecision;
 import firwheel.routing.RouteRequest;
-import firwheel.routing.RoutingView;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.HashSet;
@@ -29,6 +30,9 @@
 
 /** Carries out for one caller's request what its lifecycle decides. Used on the entry's event loop only. */
 final class RequestRun implements AttemptExchange.Events {
+    private static final Set<ResultCode> TAKES_NOTHING_NEW =
+            Set.of(ResultCode.DRAINING, ResultCode.ROW_NOT_SERVING, ResultCode.TARGET_UNREACHABLE);
+
     private final CallerRequest request;
     private final AnswerWriter answer;
     private final AnswerAssembly assembly;
@@ -37,6 +41,7 @@
     private final boolean idempotent;
     private final long deadlineMillis;
     private final AttemptLifecycle lifecycle;
+    private final List<Long> prefixHashes;
     private final Set<RankKey> excluded = new HashSet<>();
     private long deadlineTimer;
     private @Nullable AttemptExchange exchange;
@@ -48,11 +53,12 @@
         this.context = context;
         this.onOver = onOver;
         assembly = new AnswerAssembly(answer, request.streaming());
-        idempotent = request.safeMethod() || servedByIdempotentRowsOnly();
+        idempotent = request.safeMethod() || context.router().idempotent(request.kind(), request.servedName());
+        prefixHashes = request.kind() == TargetKind.MODEL ? PrefixHasher.hash(request.body()) : List.of();
         deadlineMillis = nowMillis() + request.deadline().toMillis();
         lifecycle = new AttemptLifecycle(
                 new RequestTraits(idempotent, false, deadlineMillis),
-                context.retries()::tryRetry,
+                this::tryRetry,
                 () -> AttemptId.random(context.random()));
     }
 
@@ -77,6 +83,9 @@
     public void onRefused(AttemptExchange from, ResultCode code, Duration retryAfter) {
         excluded.add(from.key());
         from.close();
+        if (TAKES_NOTHING_NEW.contains(code)) {
+            context.router().onUnavailable(from.key());
+        }
         act(lifecycle.onRefused(from.id(), code, retryAfter, nowMillis()));
     }
 
@@ -87,6 +96,7 @@
 
     @Override
     public void onChunk(AttemptExchange from, StreamChunk chunk) {
+        context.router().onProgress(from.key());
         boolean toCaller = assembly.piece(chunk.payload());
         lifecycle.onChunk(from.id(), toCaller);
         if (assembly.tooLarge()) {
@@ -123,6 +133,7 @@
 
     @Override
     public void onLost(AttemptExchange from) {
+        context.router().onUnavailable(from.key());
         act(lifecycle.onLinkLost(from.id(), nowMillis()));
     }
 
@@ -170,7 +181,7 @@
             present.resume(resume.fromSequence());
         } else if (action instanceof LifecycleAction.Complete && present != null) {
             present.received();
-            complete();
+            complete(present);
         } else if (action instanceof LifecycleAction.Fail fail) {
             cancelExchange();
             answer.error(failure(fail.code(), fail.retryAfter()));
@@ -180,8 +191,7 @@
 
     private void choose(AttemptId attempt) {
         assembly.beginAttempt();
-        RouteDecision decision =
-                context.policy().choose(routeRequest(), context.view().get());
+        RouteDecision decision = context.router().choose(routeRequest(), context.links());
         if (decision instanceof RouteDecision.Refused refused) {
             act(lifecycle.onNoTarget(attempt, refused.code(), refused.retryAfter()));
         } else if (decision instanceof RouteDecision.Chosen chosen) {
@@ -190,6 +200,9 @@
     }
 
     private void connect(AttemptId attempt, RouteDecision.Chosen chosen) {
+        if (exchange != null) {
+            exchange.close();
+        }
         AttemptExchange next = new AttemptExchange(attempt, chosen.key(), chosen.address(), context, this);
         exchange = next;
         var unused = context.links().link(chosen.address()).whenComplete((link, error) -> {
@@ -198,6 +211,9 @@
             }
             if (error != null || nowMillis() >= deadlineMillis) {
                 excluded.add(chosen.key());
+                if (error != null) {
+                    context.router().onUnavailable(chosen.key());
+                }
                 act(lifecycle.onNotSent(attempt, nowMillis()));
             } else {
                 next.dispatch(link, request, idempotent, deadlineMillis);
@@ -205,8 +221,8 @@
         });
     }
 
-    private void complete() {
-        context.retries().onSuccess();
+    private void complete(AttemptExchange ended) {
+        context.router().onSuccess(ended.key());
         assembly.complete();
         Claim held = claim;
         over(
@@ -243,7 +259,7 @@
                 request.servedName(),
                 request.organisation(),
                 request.priority(),
-                List.of(),
+                prefixHashes,
                 request.estimatedTokens(),
                 excluded);
     }
@@ -257,11 +273,8 @@
                 context.time().now().plus(request.deadline()));
     }
 
-    private boolean servedByIdempotentRowsOnly() {
-        RoutingView view = context.view().get();
-        return view.table().rows().stream()
-                .filter(row -> row.serves(request.kind(), request.servedName()))
-                .allMatch(row -> row.idempotent());
+    private boolean tryRetry() {
+        return exchange == null || context.router().tryRetry(exchange.key());
     }
 
     private static FirwheelException failure(ResultCode code, Duration retryAfter) {
--- a/entry/src/main/java/firwheel/entry/RunContext.java
+++ b/entry/src/main/java/firwheel/entry/RunContext.java
@@ -2,22 +2,16 @@
 
 import firwheel.admission.ClaimService;
 import firwheel.model.TimeSource;
-import firwheel.routing.RetryBudget;
-import firwheel.routing.RoutingPolicy;
-import firwheel.routing.RoutingView;
 import io.vertx.core.Vertx;
 import java.util.SplittableRandom;
-import java.util.function.Supplier;
 
 /**
  * What all requests of one entry share.
  *
  * @param vertx timers of the entry's event loop
  * @param links links to agents
- * @param policy routing policy
- * @param view present view of the table and of loads
+ * @param router routing by known loads, and retry budgets
  * @param claims claims of idempotency keys
- * @param retries retry budget of the entry
  * @param time clock
  * @param random source of attempt ids
  * @param onDroppedFrame counts a frame that was doubled, early, late or foreign
@@ -25,10 +19,8 @@
 record RunContext(
         Vertx vertx,
         AgentLinks links,
-        RoutingPolicy policy,
-        Supplier<RoutingView> view,
+        Router router,
         ClaimService claims,
-        RetryBudget retries,
         TimeSource time,
         SplittableRandom random,
         Runnable onDroppedFrame) {}
