--- a/bench/src/main/java/firwheel/bench/capacity/SampleMessages.java
+++ b/bench/src/main/java/firwheel/bench/capacity/SampleMessages.java
@@ -24,7 +24,8 @@
                 new byte[0],
                 60_000,
                 700,
-                64);
+                64,
+                5_000);
     }
 
     static LoadMessage.Report report() {
--- a/bench/src/main/java/firwheel/bench/capacity/WireSlopes.java
+++ b/bench/src/main/java/firwheel/bench/capacity/WireSlopes.java
@@ -49,7 +49,7 @@
         Map<Slope, Double> slopes = new EnumMap<>(Slope.class);
         slopes.put(Slope.DISPATCH_BYTES, frameBytes(SampleMessages.dispatch(attempt)));
         slopes.put(Slope.CHUNK_BYTES, frameBytes(new AttemptMessage.Chunk(attempt, 100, new byte[0])));
-        slopes.put(Slope.CREDIT_BYTES, frameBytes(new AttemptMessage.Credit(attempt, 8)));
+        slopes.put(Slope.CREDIT_BYTES, frameBytes(new AttemptMessage.Credit(attempt, 8, 1)));
         slopes.put(Slope.PROBE_BYTES, frameBytes(new LoadMessage.Probe(100_000)));
         slopes.put(Slope.REPORT_BYTES, frameBytes(SampleMessages.report()));
         slopes.put(Slope.ANNOUNCE_BYTES, tableBytes(new TableMessage.Announce(12_000, Long.MAX_VALUE)));
--- a/entry/src/main/java/firwheel/entry/AgentLinks.java
+++ b/entry/src/main/java/firwheel/entry/AgentLinks.java
@@ -1,6 +1,7 @@
 package firwheel.entry;
 
 import firwheel.model.RankAddress;
+import firwheel.model.TimeSource;
 import firwheel.peers.TableLinks;
 import firwheel.wire.LinkEndpoint;
 import firwheel.wire.LoadMessage;
@@ -12,14 +13,18 @@
 
 /** Links to agents, opened on first use and kept. Used on the entry's event loop only. */
 final class AgentLinks {
+    private static final long MAX_SILENCE_MILLIS = 4_000;
+
     private final LinkEndpoint endpoint;
+    private final TimeSource time;
     private final Consumer<LoadMessage.Report> onReport;
     private final Runnable onForeign;
     private @Nullable TableLinks tables;
     private final Map<String, CompletableFuture<AgentLink>> links = new HashMap<>();
 
-    AgentLinks(LinkEndpoint endpoint, Consumer<LoadMessage.Report> onReport, Runnable onForeign) {
+    AgentLinks(LinkEndpoint endpoint, TimeSource time, Consumer<LoadMessage.Report> onReport, Runnable onForeign) {
         this.endpoint = endpoint;
+        this.time = time;
         this.onReport = onReport;
         this.onForeign = onForeign;
     }
@@ -40,11 +45,21 @@
             return present;
         }
         CompletableFuture<AgentLink> opened = endpoint.connect(address.ip(), address.port())
-                .thenApply(link -> new AgentLink(link, onReport, onForeign, tables));
+                .thenCompose(link -> new AgentLink(link, time, onReport, onForeign, tables).ready());
         links.put(address.endpoint(), opened);
         return opened;
     }
 
+    /** Closes links whose agent is silent. To be called about once a second. */
+    void closeSilent() {
+        for (CompletableFuture<AgentLink> link : links.values()) {
+            if (link.isDone() && !isGone(link)) {
+                link.join().closeIfSilentFor(MAX_SILENCE_MILLIS);
+            }
+        }
+        links.values().removeIf(AgentLinks::isGone);
+    }
+
     private static boolean isGone(CompletableFuture<AgentLink> link) {
         return link.isCompletedExceptionally() || (link.isDone() && link.join().isClosed());
     }
