Second signal cuts the drain; control traffic of clocks and reports on the capacity page

Cause: a second signal ended the process before callers got their failure, a cut drain exited 0, and the capacity page left out clock readings and reports.

--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -3,6 +3,7 @@
 import firwheel.admin.AdminServer;
 import firwheel.model.EventCode;
 import firwheel.model.Events;
+import firwheel.model.FirwheelException;
 import firwheel.model.ResultCode;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
@@ -67,6 +68,7 @@
     private @Nullable NetServer linkServer;
     private @Nullable HttpServer adminServer;
     private boolean draining;
+    private boolean wasCut;
     private @Nullable CompletableFuture<Void> drained;
 
     private AgentServer(Vertx vertx, AgentSettings settings, Supplier<TableSnapshot> table) {
@@ -127,7 +129,10 @@
         return adminServer == null ? settings.adminPort() : adminServer.actualPort();
     }
 
-    /** Refuses new work; the future completes when running work has ended or the drain limit has passed. */
+    /**
+     * Refuses new work; the future completes when running work has ended, and fails with {@code FW-4004} when some was
+     * cut.
+     */
     public CompletableFuture<Void> drain() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         context.runOnContext(ignored -> {
@@ -248,7 +253,11 @@
 
     private void completeDrain() {
         if (draining && drained != null && attempts.idle()) {
-            drained.complete(null);
+            if (wasCut) {
+                drained.completeExceptionally(new FirwheelException(ResultCode.DRAIN_LIMIT, "attempts were cut"));
+            } else {
+                drained.complete(null);
+            }
         }
     }
 
@@ -256,6 +265,7 @@
     private void cutRemaining() {
         if (!attempts.idle()) {
             Events.log(logger, EventCode.DRAIN_CUT, "running", attempts.load().inFlight());
+            wasCut = true;
             attempts.cut();
         }
         vertx.setTimer(FLUSH_MILLIS, ignored -> completeDrain());
--- a/bench/src/main/java/firwheel/bench/capacity/CapacityModel.java
+++ b/bench/src/main/java/firwheel/bench/capacity/CapacityModel.java
@@ -15,7 +15,10 @@
     private static final double BYTES_PER_MB = 1_000_000;
     private static final double SECONDS_PER_DAY = 86_400;
     private static final double PACKET_HEADER_BYTES = 66;
-    private static final double PROBES_PER_REQUEST = 2;
+    private static final double PROBES_PER_REQUEST = 3;
+    private static final double CLOCKS_PER_SECOND = 1;
+    private static final double REPORTS_PER_SECOND = 2;
+    private static final double LOAD_CHANGES_PER_REQUEST = 2;
     private static final double GOSSIP_ROUNDS_PER_SECOND = 2;
     private static final double ANNOUNCEMENTS_PER_ROUND = 2;
     private static final double ZONE_FAN_OUT = 4;
@@ -41,6 +44,8 @@
                 entryRouting(),
                 entryRelay(),
                 entryProbes(),
+                entryClocks(),
+                entryReports(),
                 entryGossip(),
                 entryPatches(),
                 entryAdoption(),
@@ -134,7 +139,7 @@
         return new CapacityRow(
                 "entry",
                 "probes and reports, bytes/s",
-                "two asynchronous probes a request; other reports ride on replies",
+                "up to three asynchronous probes a request",
                 limit(CONTROL_BYTES_PER_SECOND),
                 "",
                 (size, slopes) -> size.requestsPerEntry()
@@ -142,6 +147,42 @@
                         * (slopes.get(Slope.PROBE_BYTES) + slopes.get(Slope.REPORT_BYTES) + 2 * PACKET_HEADER_BYTES));
     }
 
+    private static CapacityRow entryClocks() {
+        return new CapacityRow(
+                "entry",
+                "clock readings of agents, bytes/s",
+                "each agent sends one a second over each link",
+                limit(CONTROL_BYTES_PER_SECOND),
+                "",
+                (size, slopes) -> size.targetsPerZone()
+                        * CLOCKS_PER_SECOND
+                        * (slopes.get(Slope.CLOCK_BYTES) + PACKET_HEADER_BYTES));
+    }
+
+    private static CapacityRow entryReports() {
+        return new CapacityRow(
+                "entry",
+                "load reports beside probes, bytes/s",
+                "two a second from each agent with an open attempt, and one with the next piece after each change of load",
+                limit(CONTROL_BYTES_PER_SECOND),
+                "",
+                (size, slopes) -> attachedAgents(size)
+                                * REPORTS_PER_SECOND
+                                * (slopes.get(Slope.REPORT_BYTES) + PACKET_HEADER_BYTES)
+                        + attachedAgents(size)
+                                * size.requestsPerTarget()
+                                * LOAD_CHANGES_PER_REQUEST
+                                * slopes.get(Slope.REPORT_BYTES));
+    }
+
+    private static double attachedAgents(DeploymentSize size) {
+        return Math.min(size.targetsPerZone(), size.requestsPerEntry() * size.requestSeconds());
+    }
+
+    private static double attachedEntries(DeploymentSize size) {
+        return Math.min(size.entriesPerZone(), size.requestsPerTarget() * size.requestSeconds());
+    }
+
     private static CapacityRow entryGossip() {
         return new CapacityRow(
                 "entry",
@@ -186,10 +227,18 @@
         return new CapacityRow(
                 "entry",
                 "all control traffic, bytes/s in working hours",
-                "sum of probes, announcements, changes and whole tables",
+                "sum of probes, clock readings, reports, announcements, changes and whole tables",
                 limit(CONTROL_BYTES_PER_SECOND),
-                "one probe a request, and each agent looked after by one entry",
-                (size, slopes) -> sum(size, slopes, entryProbes(), entryGossip(), entryPatches(), bootstrapDay()));
+                "",
+                (size, slopes) -> sum(
+                        size,
+                        slopes,
+                        entryProbes(),
+                        entryClocks(),
+                        entryReports(),
+                        entryGossip(),
+                        entryPatches(),
+                        bootstrapDay()));
     }
 
     private static CapacityRow entryTotalHeap() {
@@ -266,11 +315,17 @@
     private static CapacityRow agentControlBytes() {
         return new CapacityRow(
                 "agent",
-                "announcements, changes and probes, bytes/s",
-                "one announcement in 1.5 s, changes from two entries, probes for each request",
+                "all control traffic, bytes/s in working hours",
+                "announcement in 1.5 s, changes from two entries, probes, clock readings and reports",
                 limit(CONTROL_BYTES_PER_SECOND),
                 "",
-                (size, slopes) -> 2 / 1.5 * (slopes.get(Slope.ANNOUNCE_BYTES) + PACKET_HEADER_BYTES)
+                (size, slopes) -> size.entriesPerZone()
+                                * CLOCKS_PER_SECOND
+                                * (slopes.get(Slope.CLOCK_BYTES) + PACKET_HEADER_BYTES)
+                        + attachedEntries(size)
+                                * REPORTS_PER_SECOND
+                                * (slopes.get(Slope.REPORT_BYTES) + PACKET_HEADER_BYTES)
+                        + 2 / 1.5 * (slopes.get(Slope.ANNOUNCE_BYTES) + PACKET_HEADER_BYTES)
                         + size.changesPerSecond()
                                 * ENTRIES_PER_AGENT
                                 * (slopes.get(Slope.PATCH_BYTES) + PACKET_HEADER_BYTES)
--- a/bench/src/main/java/firwheel/bench/capacity/Slope.java
+++ b/bench/src/main/java/firwheel/bench/capacity/Slope.java
@@ -7,6 +7,7 @@
     CREDIT_BYTES("bytes", "credit frame"),
     PROBE_BYTES("bytes", "probe frame"),
     REPORT_BYTES("bytes", "load report frame"),
+    CLOCK_BYTES("bytes", "clock reading of an agent"),
     ANNOUNCE_BYTES("bytes", "announcement of a table revision"),
     PATCH_BYTES("bytes", "table change of one field as sent to peers"),
     SNAPSHOT_ROW_BYTES("bytes", "one row of a whole table as sent to peers"),
--- a/cli/src/main/java/firwheel/cli/Demo.java
+++ b/cli/src/main/java/firwheel/cli/Demo.java
@@ -92,6 +92,12 @@
                         agents.stream().map(AgentServer::drain).toArray(CompletableFuture<?>[]::new)));
     }
 
+    /** Ends the drain at once: what still runs gets an explicit failure. */
+    void cutDrain() {
+        entries.forEach(EntryServer::cutDrain);
+        agents.forEach(AgentServer::cutDrain);
+    }
+
     /** Stops everything at once. */
     void close() {
         vertx.close().toCompletionStage().toCompletableFuture().join();
--- a/cli/src/main/java/firwheel/cli/EntryCommand.java
+++ b/cli/src/main/java/firwheel/cli/EntryCommand.java
@@ -25,6 +25,6 @@
                         RoutingPolicies.TOKEN_AWARE.create(RandomBits.ofThread()))
                 .join();
         System.out.println("ready entry=http://" + settings.ip() + ":" + entry.port());
-        return Shutdown.awaitSignal(entry::drain, Duration.ofMillis(settings.drainLimitMillis()));
+        return Shutdown.awaitSignal(entry::drain, entry::cutDrain, Duration.ofMillis(settings.drainLimitMillis()));
     }
 }
--- a/cli/src/main/java/firwheel/cli/Shutdown.java
+++ b/cli/src/main/java/firwheel/cli/Shutdown.java
@@ -16,19 +16,23 @@
 final class Shutdown {
     private static final Duration GRACE_BEYOND_DRAIN_LIMIT = Duration.ofSeconds(5);
 
+    private static final Duration CUT_GRACE = Duration.ofSeconds(2);
+
     private final Supplier<CompletableFuture<Void>> drain;
+    private final Runnable cut;
     private final Duration timeout;
     private final AtomicBoolean draining = new AtomicBoolean();
     private final CompletableFuture<ExitCode> exit = new CompletableFuture<>();
 
-    Shutdown(Supplier<CompletableFuture<Void>> drain, Duration timeout) {
+    Shutdown(Supplier<CompletableFuture<Void>> drain, Runnable cut, Duration timeout) {
         this.drain = drain;
+        this.cut = cut;
         this.timeout = timeout;
     }
 
-    /** Blocks until a signal has arrived and {@code drain} has ended or was cut. */
-    static ExitCode awaitSignal(Supplier<CompletableFuture<Void>> drain, Duration drainLimit) {
-        Shutdown shutdown = new Shutdown(drain, drainLimit.plus(GRACE_BEYOND_DRAIN_LIMIT));
+    /** Blocks until a signal has arrived and {@code drain} has ended; {@code cut} ends it early with explicit failures. */
+    static ExitCode awaitSignal(Supplier<CompletableFuture<Void>> drain, Runnable cut, Duration drainLimit) {
+        Shutdown shutdown = new Shutdown(drain, cut, drainLimit.plus(GRACE_BEYOND_DRAIN_LIMIT));
         Signals.handle("TERM", shutdown::onSignal);
         Signals.handle("INT", shutdown::onSignal);
         return shutdown.exit().join();
@@ -47,7 +51,8 @@
                     .whenComplete((done, error) -> exit.complete(exitCode(error)));
         } else {
             System.err.println("second signal: running requests are cut");
-            exit.complete(ExitCode.FAILED);
+            cut.run();
+            exit.completeOnTimeout(ExitCode.FAILED, CUT_GRACE.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/cli/src/main/java/firwheel/cli/StandInCommand.java
+++ b/cli/src/main/java/firwheel/cli/StandInCommand.java
@@ -38,7 +38,7 @@
         Vertx vertx = Vertx.vertx();
         HttpServer server = listen(vertx).join();
         System.out.println("ready " + what + "=http://" + ip + ":" + server.actualPort());
-        return Shutdown.awaitSignal(() -> CompletableFuture.completedFuture(null), Duration.ZERO);
+        return Shutdown.awaitSignal(() -> CompletableFuture.completedFuture(null), () -> {}, Duration.ZERO);
     }
 
     private CompletableFuture<HttpServer> listen(Vertx vertx) {
--- a/cli/src/test/java/firwheel/cli/ShutdownTest.java
+++ b/cli/src/test/java/firwheel/cli/ShutdownTest.java
@@ -5,11 +5,13 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 final class ShutdownTest {
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
-    private final Shutdown shutdown = new Shutdown(() -> drained, Duration.ofMinutes(1));
+    private final AtomicInteger cuts = new AtomicInteger();
+    private final Shutdown shutdown = new Shutdown(() -> drained, cuts::incrementAndGet, Duration.ofMinutes(1));
 
     private static ExitCode exitCode(Shutdown shutdown) {
         return shutdown.exit().orTimeout(20, TimeUnit.SECONDS).join();
@@ -27,14 +29,16 @@
     @Test
     void secondSignalCuts() {
         shutdown.onSignal();
+        assertThat(cuts).hasValue(0);
         shutdown.onSignal();
 
+        assertThat(cuts).hasValue(1);
         assertThat(exitCode(shutdown)).isEqualTo(ExitCode.FAILED);
     }
 
     @Test
     void drainThatDoesNotEndIsCut() {
-        Shutdown limited = new Shutdown(() -> drained, Duration.ofMillis(1));
+        Shutdown limited = new Shutdown(() -> drained, cuts::incrementAndGet, Duration.ofMillis(1));
 
         limited.onSignal();
 
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -5,7 +5,9 @@
 import firwheel.model.AttemptId;
 import firwheel.model.EventCode;
 import firwheel.model.Events;
+import firwheel.model.FirwheelException;
 import firwheel.model.RankAddress;
+import firwheel.model.ResultCode;
 import firwheel.model.TableSnapshot;
 import firwheel.model.TimeSource;
 import firwheel.peers.ControlThread;
@@ -56,6 +58,7 @@
     private @Nullable HttpServer callerServer;
     private @Nullable HttpServer adminServer;
     private boolean draining;
+    private int cutRequests;
     private @Nullable CompletableFuture<Void> drained;
 
     private EntryServer(Vertx vertx, EntrySettings settings, Supplier<TableSnapshot> table, RoutingPolicy policy) {
@@ -117,7 +120,10 @@
         return adminServer == null ? settings.adminPort() : adminServer.actualPort();
     }
 
-    /** Refuses new requests; the future completes when running ones have ended or the drain limit has passed. */
+    /**
+     * Refuses new requests; the future completes when running ones have ended, and fails with {@code FW-4004} when some
+     * were cut.
+     */
     public CompletableFuture<Void> drain() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         context.runOnContext(ignored -> {
@@ -203,13 +209,19 @@
 
     private void completeDrain() {
         if (draining && running.isEmpty() && drained != null) {
-            drained.complete(null);
+            if (cutRequests == 0) {
+                drained.complete(null);
+            } else {
+                drained.completeExceptionally(
+                        new FirwheelException(ResultCode.DRAIN_LIMIT, cutRequests + " requests were cut"));
+            }
         }
     }
 
     private void cutRemaining() {
         if (!running.isEmpty()) {
             Events.log(logger, EventCode.DRAIN_CUT, "running", running.size());
+            cutRequests = running.size();
         }
         Set.copyOf(running).forEach(RequestRun::cut);
         vertx.setTimer(FLUSH_MILLIS, ignored -> {
--- a/entry/src/test/java/firwheel/entry/FaultPathTest.java
+++ b/entry/src/test/java/firwheel/entry/FaultPathTest.java
@@ -1,6 +1,7 @@
 package firwheel.entry;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.catchThrowable;
 
 import firwheel.model.RowState;
@@ -162,7 +163,7 @@
             CompletableFuture<Void> drained = deployment.entry.drain();
             deployment.entry.cutDrain();
             assertThat(outcome(booking.join())).isEqualTo("unknown");
-            drained.join();
+            assertThatThrownBy(drained::join).hasMessageContaining("FW-4004");
         }
 
         @Test
