--- a/agent/src/main/java/firwheel/agent/AttemptExecution.java
+++ b/agent/src/main/java/firwheel/agent/AttemptExecution.java
@@ -40,6 +40,7 @@
     private boolean lastEventTerminates;
     private boolean eventStream;
     private boolean waitingForRoom;
+    private boolean begun;
     private boolean over;
     private long deadlineTimer;
 
@@ -79,6 +80,11 @@
         }
     }
 
+    /** Returns whether a stream has begun, may send more, and waits for the target. */
+    boolean expectsOutput() {
+        return eventStream && !over && begun && !waitingForRoom;
+    }
+
     /** Gives the attempt up because its caller has left; the target is told by a reset stream. */
     void cancel() {
         end(ResultCode.STREAM_BROKEN);
@@ -144,6 +150,7 @@
         }
         byte[] data = eventStream ? piece.appendString(EVENT_DELIMITER).getBytes() : piece.getBytes();
         lastEventTerminates = Arrays.equals(data, TERMINATING_EVENT);
+        begun = true;
         stream.append(data);
         waitingForRoom = true;
         readOn();
--- a/agent/src/main/java/firwheel/agent/AttemptHandler.java
+++ b/agent/src/main/java/firwheel/agent/AttemptHandler.java
@@ -25,8 +25,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -55,6 +57,7 @@
     private final TimeSource time;
     private final Starter starter;
     private final Consumer<String> countDispatch;
+    private final Consumer<Link> beforeChunk;
     private final AdmissionGate gate;
     private final Map<AttemptId, OpenAttempt> open = new HashMap<>();
     private @Nullable TableSnapshot appliedTable;
@@ -66,12 +69,14 @@
             Supplier<TableSnapshot> table,
             TimeSource time,
             Starter starter,
-            Consumer<String> countDispatch) {
+            Consumer<String> countDispatch,
+            Consumer<Link> beforeChunk) {
         this.settings = settings;
         this.table = table;
         this.time = time;
         this.starter = starter;
         this.countDispatch = countDispatch;
+        this.beforeChunk = beforeChunk;
         gate = new AdmissionGate(
                 incarnation,
                 RowState.JOINING,
@@ -142,6 +147,18 @@
         open.clear();
     }
 
+    /** Returns the links over which attempts came that are still open. */
+    Set<Link> openLinks() {
+        return open.values().stream().map(OpenAttempt::firstLink).collect(Collectors.toSet());
+    }
+
+    /** Returns whether a running attempt waits for the target's next piece. */
+    boolean expectsOutput() {
+        return open.values().stream()
+                .map(OpenAttempt::execution)
+                .anyMatch(execution -> execution != null && execution.expectsOutput());
+    }
+
     GateLoad load() {
         return gate.load();
     }
@@ -191,7 +208,7 @@
         if (buffer == null) {
             throw new IllegalStateException("no stream for a running attempt");
         }
-        AttemptStream stream = new AttemptStream(dispatch.attempt(), buffer);
+        AttemptStream stream = new AttemptStream(dispatch.attempt(), buffer, beforeChunk);
         stream.attach(attempt.firstLink(), 0, dispatch.creditChunks());
         attempt.begin(stream, starter.start(dispatch, model, stream, failure -> onOver(attempt, failure)));
     }
@@ -261,7 +278,7 @@
 
     private @Nullable AttemptStream endedStream(AttemptId id) {
         StreamBuffer buffer = gate.stream(id);
-        return buffer == null ? null : new AttemptStream(id, buffer);
+        return buffer == null ? null : new AttemptStream(id, buffer, beforeChunk);
     }
 
     private static AttemptMessage.FenceResult result(AttemptId id, FenceAnswer answer) {
--- a/bench/src/main/java/firwheel/bench/capacity/SampleMessages.java
+++ b/bench/src/main/java/firwheel/bench/capacity/SampleMessages.java
@@ -29,6 +29,6 @@
     }
 
     static LoadMessage.Report report() {
-        return new LoadMessage.Report(100_000, "group-00012", 17, 60_000, 40, 3, 21);
+        return new LoadMessage.Report(100_000, "group-00012", 17, 60_000, 40, 3, 21, 0);
     }
 }
--- a/cli/src/test/java/firwheel/cli/DistributedTableTest.java
+++ b/cli/src/test/java/firwheel/cli/DistributedTableTest.java
@@ -7,6 +7,8 @@
 import firwheel.entry.EntryServer;
 import firwheel.entry.EntrySettings;
 import firwheel.platform.HostList.HostEntry;
+import firwheel.routing.RandomBits;
+import firwheel.routing.RoutingPolicies;
 import firwheel.standin.InMemoryTableService;
 import firwheel.standin.StandInPlatform;
 import io.vertx.core.Vertx;
@@ -46,7 +48,10 @@
             EntrySettings settings =
                     new EntrySettings(ip, 0, LINK_PORT, 0, "z", url, List.of(), "k", null, 1_000, 1_000, 1_000, 1_000);
             EntryServer entry = EntryServer.start(
-                            vertx, settings, RunningTable.sources(vertx, settings), Routing.defaultPolicy())
+                            vertx,
+                            settings,
+                            RunningTable.sources(vertx, settings),
+                            RoutingPolicies.TOKEN_AWARE.create(RandomBits.ofThread()))
                     .join();
             admins.add(ip + ":" + entry.adminPort());
         }
