--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -44,6 +44,9 @@
 public final class AgentServer {
     private static final long TICK_MILLIS = 50;
     private static final long CLOCK_MILLIS = 1_000;
+    /** Time for which a draining process goes on refusing, so that peers learn of it before the connections close. */
+    private static final long LINGER_MILLIS = 1_500;
+
     private static final long FLUSH_MILLIS = 200;
     private static final int MAX_TARGET_CONNECTIONS = 1_024;
     private static final Logger logger = LoggerFactory.getLogger(AgentServer.class);
@@ -68,6 +71,7 @@
     private @Nullable NetServer linkServer;
     private @Nullable HttpServer adminServer;
     private boolean draining;
+    private boolean lingered;
     private boolean wasCut;
     private @Nullable CompletableFuture<Void> drained;
 
@@ -147,7 +151,10 @@
             drained = done;
             attempts.drain();
             vertx.setTimer(Math.max(1, settings.drainLimitMillis()), timer -> cutRemaining());
-            completeDrain();
+            vertx.setTimer(LINGER_MILLIS, timer -> {
+                lingered = true;
+                completeDrain();
+            });
         });
         return done;
     }
@@ -252,7 +259,7 @@
     }
 
     private void completeDrain() {
-        if (draining && drained != null && attempts.idle()) {
+        if (draining && lingered && drained != null && attempts.idle()) {
             if (wasCut) {
                 drained.completeExceptionally(new FirwheelException(ResultCode.DRAIN_LIMIT, "attempts were cut"));
             } else {
@@ -263,6 +270,7 @@
 
     /** Ends what still runs with an explicit failure; the drain is over then. */
     private void cutRemaining() {
+        lingered = true;
         if (!attempts.idle()) {
             Events.log(logger, EventCode.DRAIN_CUT, "running", attempts.load().inFlight());
             wasCut = true;
--- a/entry/src/main/java/firwheel/entry/EntryServer.java
+++ b/entry/src/main/java/firwheel/entry/EntryServer.java
@@ -38,6 +38,9 @@
 /** The process that takes requests from callers. One event loop carries its traffic. */
 public final class EntryServer {
     private static final long LINK_CHECK_MILLIS = 1_000;
+    /** Time for which a draining process goes on refusing, so that peers learn of it before the connections close. */
+    private static final long LINGER_MILLIS = 1_500;
+
     private static final long FLUSH_MILLIS = 500;
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final Logger logger = LoggerFactory.getLogger(EntryServer.class);
@@ -58,6 +61,7 @@
     private @Nullable HttpServer callerServer;
     private @Nullable HttpServer adminServer;
     private boolean draining;
+    private boolean lingered;
     private int cutRequests;
     private @Nullable CompletableFuture<Void> drained;
 
@@ -131,7 +135,10 @@
             draining = true;
             drained = done;
             vertx.setTimer(Math.max(1, settings.drainLimitMillis()), timer -> cutRemaining());
-            completeDrain();
+            vertx.setTimer(LINGER_MILLIS, timer -> {
+                lingered = true;
+                completeDrain();
+            });
         });
         return done;
     }
@@ -208,7 +215,7 @@
     }
 
     private void completeDrain() {
-        if (draining && running.isEmpty() && drained != null) {
+        if (draining && lingered && running.isEmpty() && drained != null) {
             if (cutRequests == 0) {
                 drained.complete(null);
             } else {
@@ -219,6 +226,7 @@
     }
 
     private void cutRemaining() {
+        lingered = true;
         if (!running.isEmpty()) {
             Events.log(logger, EventCode.DRAIN_CUT, "running", running.size());
             cutRequests = running.size();
--- a/wire/src/main/java/firwheel/wire/LinkEndpoint.java
+++ b/wire/src/main/java/firwheel/wire/LinkEndpoint.java
@@ -2,6 +2,8 @@
 
 import firwheel.model.EventCode;
 import firwheel.model.Events;
+import firwheel.model.Futures;
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
@@ -17,6 +19,7 @@
     private static final Logger logger = LoggerFactory.getLogger(LinkEndpoint.class);
 
     private final Vertx vertx;
+    private final Context context;
     private final LinkSecurity security;
     private final LinkIdentity self;
     private final LinkTimeouts timeouts;
@@ -31,6 +34,7 @@
 
     LinkEndpoint(Vertx vertx, LinkSecurity security, LinkIdentity self, LinkTimeouts timeouts) {
         this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
         this.security = security;
         this.self = self;
         this.timeouts = timeouts;
@@ -49,6 +53,13 @@
 
     /** Connects to a peer; fails when it is unreachable or not authentic. */
     public CompletableFuture<Link> connect(String ip, int port) {
+        CompletableFuture<Link> result = new CompletableFuture<>();
+        context.runOnContext(ignored -> Futures.forward(connectHere(ip, port), result));
+        return result;
+    }
+
+    /** Runs on the event loop of the links: elsewhere the peer's first frame could arrive before its handler is set. */
+    private CompletableFuture<Link> connectHere(String ip, int port) {
         return client.connect(port, ip)
                 .toCompletionStage()
                 .toCompletableFuture()
--- a/wire/src/test/java/firwheel/wire/LinkEndpointTest.java
+++ b/wire/src/test/java/firwheel/wire/LinkEndpointTest.java
@@ -93,6 +93,16 @@
             assertThat(acceptor.refusedLinks()).isZero();
         }
 
+        @Test
+        void authenticateWhenTheConnectionIsOpenedFromAnotherThread() {
+            for (int i = 0; i < 300; i++) {
+                assertThat(get(endpoint(new LinkSecurity(KEY, null), LONG).connect(LOOPBACK, port))
+                                .isClosed())
+                        .isFalse();
+            }
+            assertThat(acceptor.refusedLinks()).isZero();
+        }
+
         @Test
         void ofANewerMinorVersionAreAccepted() throws IOException {
             try (RawPeer peer = new RawPeer(port)) {
