Rename the module of the table service's client to store

Cause: platform/ is to hold the adapter to the users' platform, while this module holds ports and a client of the product's own table service. Change: package firwheel.platform becomes firwheel.store; no behaviour changes. Shown by: the build with linter and formatter passes; tests not run alone.

--- a/admission/src/main/java/firwheel/admission/WriteOutcome.java
+++ b/admission/src/main/java/firwheel/admission/WriteOutcome.java
@@ -1,6 +1,6 @@
 package firwheel.admission;
 
-import firwheel.platform.StoredRow;
+import firwheel.store.StoredRow;
 
 /** What became of one conditional write of a group. */
 sealed interface WriteOutcome {
--- a/admission/src/test/java/firwheel/admission/FaultyStore.java
+++ b/admission/src/test/java/firwheel/admission/FaultyStore.java
@@ -2,10 +2,10 @@
 
 import firwheel.model.FirwheelException;
 import firwheel.model.ResultCode;
-import firwheel.platform.CommitResult;
-import firwheel.platform.StoredRow;
-import firwheel.platform.TableService;
-import firwheel.platform.Transaction;
+import firwheel.store.CommitResult;
+import firwheel.store.StoredRow;
+import firwheel.store.TableService;
+import firwheel.store.Transaction;
 import firwheel.standin.InMemoryTableService;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -10,7 +10,7 @@
 import firwheel.peers.ControlThread;
 import firwheel.peers.DeferredTable;
 import firwheel.peers.TableLinks;
-import firwheel.platform.EventLoops;
+import firwheel.store.EventLoops;
 import firwheel.wire.AttemptMessage;
 import firwheel.wire.Link;
 import firwheel.wire.LinkEndpoint;
--- a/bench/src/main/java/firwheel/bench/capacity/StateSlopes.java
+++ b/bench/src/main/java/firwheel/bench/capacity/StateSlopes.java
@@ -20,7 +20,7 @@
 import firwheel.model.TargetKind;
 import firwheel.model.TargetRow;
 import firwheel.model.TimeSource;
-import firwheel.platform.Delay;
+import firwheel.store.Delay;
 import firwheel.routing.LoadReport;
 import firwheel.routing.LoadTracker;
 import firwheel.routing.RandomBits;
--- a/bench/src/main/java/firwheel/bench/capacity/WireSlopes.java
+++ b/bench/src/main/java/firwheel/bench/capacity/WireSlopes.java
@@ -4,7 +4,7 @@
 import firwheel.model.TargetRow;
 import firwheel.model.TimeSource;
 import firwheel.peers.TableMessageCodec;
-import firwheel.platform.EventLoops;
+import firwheel.store.EventLoops;
 import firwheel.table.RevisionPatch;
 import firwheel.table.RowPatch;
 import firwheel.table.TableColumn;
--- a/cli/src/main/java/firwheel/cli/Demo.java
+++ b/cli/src/main/java/firwheel/cli/Demo.java
@@ -10,7 +10,7 @@
 import firwheel.model.TargetKind;
 import firwheel.model.TargetRow;
 import firwheel.model.TimeSource;
-import firwheel.platform.HttpPlatform;
+import firwheel.store.HttpPlatform;
 import firwheel.routing.RandomBits;
 import firwheel.routing.RoutingPolicies;
 import firwheel.standin.InMemoryTableService;
--- a/cli/src/main/java/firwheel/cli/HostStatuses.java
+++ b/cli/src/main/java/firwheel/cli/HostStatuses.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import firwheel.platform.HostList.HostEntry;
+import firwheel.store.HostList.HostEntry;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
@@ -84,7 +84,7 @@
                 lagging.forEach(status -> System.err.println(describe(status, revision)));
                 return false;
             }
-            firwheel.platform.Delay.system().after(ASK_AGAIN).join();
+            firwheel.store.Delay.system().after(ASK_AGAIN).join();
         }
     }
 
--- a/cli/src/main/java/firwheel/cli/OperatorPlatform.java
+++ b/cli/src/main/java/firwheel/cli/OperatorPlatform.java
@@ -2,11 +2,11 @@
 
 import firwheel.model.FirwheelException;
 import firwheel.model.TimeSource;
-import firwheel.platform.Delay;
-import firwheel.platform.HostList;
-import firwheel.platform.HttpPlatform;
-import firwheel.platform.ResilientTableService;
-import firwheel.platform.TableService;
+import firwheel.store.Delay;
+import firwheel.store.HostList;
+import firwheel.store.HttpPlatform;
+import firwheel.store.ResilientTableService;
+import firwheel.store.TableService;
 import firwheel.table.TableCommitter;
 import firwheel.table.TableReader;
 import io.vertx.core.Vertx;
--- a/cli/src/main/java/firwheel/cli/RunningTable.java
+++ b/cli/src/main/java/firwheel/cli/RunningTable.java
@@ -2,7 +2,7 @@
 
 import firwheel.entry.EntrySettings;
 import firwheel.peers.TableLinks;
-import firwheel.platform.HttpPlatform;
+import firwheel.store.HttpPlatform;
 import firwheel.table.TableFollower;
 import firwheel.table.TableReader;
 import io.reactivex.rxjava3.schedulers.Schedulers;
--- a/cli/src/test/java/firwheel/cli/DistributedTableTest.java
+++ b/cli/src/test/java/firwheel/cli/DistributedTableTest.java
@@ -6,7 +6,7 @@
 import firwheel.agent.AgentSettings;
 import firwheel.entry.EntryServer;
 import firwheel.entry.EntrySettings;
-import firwheel.platform.HostList.HostEntry;
+import firwheel.store.HostList.HostEntry;
 import firwheel.routing.RandomBits;
 import firwheel.routing.RoutingPolicies;
 import firwheel.standin.InMemoryTableService;
--- a/load/src/main/java/firwheel/load/LoadRun.java
+++ b/load/src/main/java/firwheel/load/LoadRun.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import firwheel.model.TimeSource;
-import firwheel.platform.EventLoops;
+import firwheel.store.EventLoops;
 import firwheel.standin.StandInService.LedgerEntry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
--- a/peers/src/main/java/firwheel/peers/DialPlan.java
+++ b/peers/src/main/java/firwheel/peers/DialPlan.java
@@ -1,7 +1,7 @@
 package firwheel.peers;
 
 import firwheel.model.TableSnapshot;
-import firwheel.platform.HostList.HostEntry;
+import firwheel.store.HostList.HostEntry;
 import firwheel.table.Peer;
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/standin/src/main/java/firwheel/standin/InMemoryTableService.java
+++ b/standin/src/main/java/firwheel/standin/InMemoryTableService.java
@@ -1,11 +1,11 @@
 package firwheel.standin;
 
-import firwheel.platform.CommitResult;
-import firwheel.platform.Condition;
-import firwheel.platform.StoredRow;
-import firwheel.platform.TableService;
-import firwheel.platform.Transaction;
-import firwheel.platform.Write;
+import firwheel.store.CommitResult;
+import firwheel.store.Condition;
+import firwheel.store.StoredRow;
+import firwheel.store.TableService;
+import firwheel.store.Transaction;
+import firwheel.store.Write;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
--- a/standin/src/main/java/firwheel/standin/LaggingHostList.java
+++ b/standin/src/main/java/firwheel/standin/LaggingHostList.java
@@ -1,7 +1,7 @@
 package firwheel.standin;
 
 import firwheel.model.TimeSource;
-import firwheel.platform.HostList;
+import firwheel.store.HostList;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/standin/src/main/java/firwheel/standin/StandInPlatform.java
+++ b/standin/src/main/java/firwheel/standin/StandInPlatform.java
@@ -3,11 +3,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import firwheel.model.FirwheelException;
 import firwheel.model.TimeSource;
-import firwheel.platform.Delay;
-import firwheel.platform.EventLoops;
-import firwheel.platform.HostList;
-import firwheel.platform.PlatformRequests;
-import firwheel.platform.TableService;
+import firwheel.store.Delay;
+import firwheel.store.EventLoops;
+import firwheel.store.HostList;
+import firwheel.store.PlatformRequests;
+import firwheel.store.TableService;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
@@ -75,7 +75,7 @@
                             tables.read(read(body, PlatformRequests.Read.class).keys()));
                 case PlatformRequests.SCAN_PATH -> scan(request, read(body, PlatformRequests.Scan.class));
                 case PlatformRequests.COMMIT_PATH ->
-                    answer(request, tables.commit(read(body, firwheel.platform.Transaction.class)));
+                    answer(request, tables.commit(read(body, firwheel.store.Transaction.class)));
                 case PlatformRequests.HOSTS_PATH -> answer(request, CompletableFuture.completedFuture(hosts));
                 case FAULTS_PATH -> {
                     setFaults(read(body, FaultRequest.class));
--- a/standin/src/main/java/firwheel/standin/StandInService.java
+++ b/standin/src/main/java/firwheel/standin/StandInService.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import firwheel.platform.EventLoops;
+import firwheel.store.EventLoops;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
--- a/standin/src/main/java/firwheel/standin/VirtualTime.java
+++ b/standin/src/main/java/firwheel/standin/VirtualTime.java
@@ -1,7 +1,7 @@
 package firwheel.standin;
 
 import firwheel.model.TimeSource;
-import firwheel.platform.Delay;
+import firwheel.store.Delay;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.PriorityQueue;
--- a/platform/src/main/java/firwheel/platform/CommitResult.java
+++ b/store/src/main/java/firwheel/store/CommitResult.java
@@ -1,4 +1,4 @@
-package firwheel.platform;
+package firwheel.store;
 
 import java.util.List;
 
--- a/platform/src/main/java/firwheel/platform/Condition.java
+++ b/store/src/main/java/firwheel/store/Condition.java
@@ -1,4 +1,4 @@
-package firwheel.platform;
+package firwheel.store;
 
 /**
  * Holds when the row's present version equals {@code expectedVersion}.
--- a/platform/src/main/java/firwheel/platform/EventLoops.java
+++ b/store/src/main/java/firwheel/store/EventLoops.java
@@ -1,4 +1,4 @@
-package firwheel.platform;
+package firwheel.store;
 
 import firwheel.model.Futures;
 import io.vertx.core.Future;
--- a/platform/src/main/java/firwheel/platform/HttpPlatform.java
+++ b/store/src/main/java/firwheel/store/HttpPlatform.java
@@ -1,4 +1,4 @@
-package firwheel.platform;
+package firwheel.store;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/platform/src/main/java/firwheel/platform/ResilientTableService.java
+++ b/store/src/main/java/firwheel/store/ResilientTableService.java
@@ -1,4 +1,4 @@
-package firwheel.platform;
+package firwheel.store;
 
 import firwheel.model.FirwheelException;
 import firwheel.model.ResultCode;
--- a/platform/src/main/java/firwheel/platform/StoredRow.java
+++ b/store/src/main/java/firwheel/store/StoredRow.java
@@ -1,4 +1,4 @@
-package firwheel.platform;
+package firwheel.store;
 
 /**
  * One row of the platform's table service.
--- a/platform/src/main/java/firwheel/platform/Write.java
+++ b/store/src/main/java/firwheel/store/Write.java
@@ -1,4 +1,4 @@
-package firwheel.platform;
+package firwheel.store;
 
 import org.jspecify.annotations.Nullable;
 
--- a/platform/src/main/java/firwheel/platform/package-info.java
+++ b/store/src/main/java/firwheel/store/package-info.java
@@ -1,5 +1,5 @@
 /** Ports to the platform's table service, object store and host list. */
 @NullMarked
-package firwheel.platform;
+package firwheel.store;
 
 import org.jspecify.annotations.NullMarked;
--- a/table/src/main/java/firwheel/table/AuditTrail.java
+++ b/table/src/main/java/firwheel/table/AuditTrail.java
@@ -1,7 +1,7 @@
 package firwheel.table;
 
 import firwheel.model.TargetRow;
-import firwheel.platform.TableService;
+import firwheel.store.TableService;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
--- a/table/src/main/java/firwheel/table/FencingGuard.java
+++ b/table/src/main/java/firwheel/table/FencingGuard.java
@@ -2,8 +2,8 @@
 
 import firwheel.model.FirwheelException;
 import firwheel.model.ResultCode;
-import firwheel.platform.StoredRow;
-import firwheel.platform.TableService;
+import firwheel.store.StoredRow;
+import firwheel.store.TableService;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
--- a/table/src/main/java/firwheel/table/Membership.java
+++ b/table/src/main/java/firwheel/table/Membership.java
@@ -1,7 +1,7 @@
 package firwheel.table;
 
 import firwheel.model.TimeSource;
-import firwheel.platform.HostList.HostEntry;
+import firwheel.store.HostList.HostEntry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/table/src/main/java/firwheel/table/OrderAudit.java
+++ b/table/src/main/java/firwheel/table/OrderAudit.java
@@ -1,10 +1,10 @@
 package firwheel.table;
 
-import firwheel.platform.CommitResult;
-import firwheel.platform.Condition;
-import firwheel.platform.TableService;
-import firwheel.platform.Transaction;
-import firwheel.platform.Write;
+import firwheel.store.CommitResult;
+import firwheel.store.Condition;
+import firwheel.store.TableService;
+import firwheel.store.Transaction;
+import firwheel.store.Write;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
--- a/table/src/test/java/firwheel/table/MembershipTest.java
+++ b/table/src/test/java/firwheel/table/MembershipTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import firwheel.platform.HostList.HostEntry;
+import firwheel.store.HostList.HostEntry;
 import firwheel.standin.LaggingHostList;
 import firwheel.standin.VirtualTime;
 import firwheel.table.Membership.Standing;
