--- /dev/null
+++ b/mesh/src/main/java/firwheel/mesh/Mesh.java
@@ -0,0 +1,161 @@
+package firwheel.mesh;
+
+import firwheel.model.FirwheelException;
+import firwheel.model.TimeSource;
+import firwheel.wire.MeshMessage;
+import firwheel.wire.MeshMessage.Beat;
+import firwheel.wire.MeshMessage.Member;
+import firwheel.wire.Message;
+import firwheel.wire.MessageCodec;
+import firwheel.wire.SharedKey;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramPacket;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Datagrams among the processes of one deployment. Each carries a code over its content made with the shared key; others
+ * are dropped and counted. A beat goes to a few processes at a time, so that the cost of a process does not grow with
+ * their number. All methods run on one event loop.
+ */
+public final class Mesh {
+    private static final Duration BEAT_INTERVAL = Duration.ofMillis(500); // a change spreads to all in some four beats
+    private static final int BEAT_FANOUT = 3; // the change reaches all of 400 processes in six beats
+    private static final int SAMPLED_MEMBERS = 24; // keeps a beat within one packet
+    private static final int CODE_BYTES = 16; // half of the hash, as is usual for short messages
+    private static final Logger logger = LoggerFactory.getLogger(Mesh.class);
+
+    /** What a process says of its knowledge in each beat. */
+    @FunctionalInterface
+    public interface Knowledge {
+        /** Returns the beat of {@code self} with {@code others} in it. */
+        Beat beat(Member self, List<Member> others);
+    }
+
+    private final Vertx vertx;
+    private final DatagramSocket socket;
+    private final SharedKey key;
+    private final int port;
+    private final Knowledge knowledge;
+    private final Membership membership;
+    private final MessageCodec codec = new MessageCodec();
+    private final Map<Class<?>, BiConsumer<String, Message>> handlers = new HashMap<>();
+    private Member self;
+    private long dropped;
+
+    /** Creates a mesh that is not started; all processes use the same {@code port}. */
+    public Mesh(Vertx vertx, TimeSource time, SharedKey key, int port, Member self, Knowledge knowledge) {
+        this.vertx = vertx;
+        this.key = key;
+        this.port = port;
+        this.self = self;
+        this.knowledge = knowledge;
+        membership = new Membership(time, new Random(), self.ip());
+        socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+    }
+
+    /** Listens and beats from now on. */
+    public CompletableFuture<Void> start() {
+        socket.handler(this::onPacket);
+        socket.exceptionHandler(error -> logger.atDebug().setCause(error).log("datagram socket reports an error"));
+        return socket.listen(port, self.ip())
+                .onSuccess(listening -> {
+                    vertx.setPeriodic(BEAT_INTERVAL.toMillis(), id -> beat());
+                    beat();
+                })
+                .<Void>mapEmpty()
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    /** Returns who is alive. */
+    public Membership membership() {
+        return membership;
+    }
+
+    /** Returns how many datagrams were dropped because they were not authentic or could not be read. */
+    public long dropped() {
+        return dropped;
+    }
+
+    /** Sets what receives messages of a type, with the sender's IP number. */
+    public <M extends MeshMessage> void onMessage(Class<M> type, BiConsumer<String, M> handler) {
+        handlers.put(type, (sender, message) -> handler.accept(sender, type.cast(message)));
+    }
+
+    /** Sends a message to one process; it may be lost. */
+    public void send(String ip, Message message) {
+        sendFrame(ip, seal(message));
+    }
+
+    /** Sends a message to several processes; any copy may be lost. */
+    public void send(List<Member> members, Message message) {
+        Buffer frame = seal(message);
+        members.forEach(member -> sendFrame(member.ip(), frame));
+    }
+
+    /** Beats at once, for instance after a change that others wait for. */
+    public void beat() {
+        self = new Member(self.ip(), self.availabilityZone(), self.role(), self.incarnation(), self.beat() + 1);
+        Beat beat = knowledge.beat(self, membership.sample(SAMPLED_MEMBERS));
+        send(membership.beatTargets(BEAT_FANOUT), beat);
+    }
+
+    private Buffer seal(Message message) {
+        byte[] frame = codec.encode(message);
+        return Buffer.buffer(CODE_BYTES + frame.length).appendBytes(code(frame)).appendBytes(frame);
+    }
+
+    private void sendFrame(String ip, Buffer frame) {
+        var unused = socket.send(frame, port, ip)
+                .onFailure(error ->
+                        logger.atDebug().addKeyValue("peer", ip).setCause(error).log("datagram could not be sent"));
+    }
+
+    private byte[] code(byte[] frame) {
+        return Arrays.copyOf(key.mac(List.of(frame)), CODE_BYTES);
+    }
+
+    private void onPacket(DatagramPacket packet) {
+        byte[] data = packet.data().getBytes();
+        if (data.length <= CODE_BYTES) {
+            dropped++;
+            return;
+        }
+        byte[] frame = Arrays.copyOfRange(data, CODE_BYTES, data.length);
+        if (!SharedKey.matches(code(frame), Arrays.copyOf(data, CODE_BYTES))) {
+            dropped++;
+            return;
+        }
+        try {
+            onMessage(packet.sender().host(), codec.decode(frame));
+        } catch (FirwheelException e) {
+            dropped++;
+            logger.atWarn()
+                    .addKeyValue("peer", packet.sender().host())
+                    .log("datagram cannot be read: {}", e.getMessage());
+        }
+    }
+
+    private void onMessage(String sender, Message message) {
+        if (message instanceof Beat beat) {
+            membership.heardOf(beat.self());
+            beat.others().forEach(membership::heardOf);
+        }
+        BiConsumer<String, Message> handler = handlers.get(message.getClass());
+        if (handler != null) {
+            handler.accept(sender, message);
+        }
+    }
+}
--- /dev/null
+++ b/mesh/src/test/java/firwheel/mesh/MembershipTest.java
@@ -0,0 +1,80 @@
+package firwheel.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firwheel.model.ManualTimeSource;
+import firwheel.wire.MeshMessage.Member;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class MembershipTest {
+    private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
+    private final Membership membership = new Membership(time, new Random(1), "10.0.0.1");
+
+    private static Member member(String ip, long incarnation, long beat) {
+        return new Member(ip, "zone-a", "entry", incarnation, beat);
+    }
+
+    @Nested
+    final class Alive {
+        @Test
+        void endsWhenTheBeatNumberNoLongerRises() {
+            membership.heardOf(member("10.0.0.2", 1, 5));
+            time.advance(Duration.ofSeconds(3));
+            membership.heardOf(member("10.0.0.2", 1, 5));
+            time.advance(Duration.ofSeconds(2));
+
+            assertThat(membership.alive()).isEmpty();
+        }
+
+        @Test
+        void goesOnWhileOthersReportRisingBeats() {
+            for (int beat = 1; beat <= 10; beat++) {
+                membership.heardOf(member("10.0.0.2", 1, beat));
+                time.advance(Duration.ofSeconds(2));
+            }
+
+            assertThat(membership.alive("entry")).hasSize(1);
+            assertThat(membership.alive("agent")).isEmpty();
+        }
+
+        @Test
+        void beginsAnewWithALaterIncarnationWhoseBeatsAreLower() {
+            membership.heardOf(member("10.0.0.2", 1, 500));
+            time.advance(Duration.ofSeconds(5));
+            membership.heardOf(member("10.0.0.2", 2, 1));
+            membership.heardOf(member("10.0.0.2", 1, 501));
+
+            assertThat(membership.alive()).containsExactly(member("10.0.0.2", 2, 1));
+        }
+
+        @Test
+        void leavesOutTheProcessItself() {
+            membership.heardOf(member("10.0.0.1", 1, 1));
+
+            assertThat(membership.alive()).isEmpty();
+        }
+    }
+
+    @Nested
+    final class BeatTargets {
+        @Test
+        void includeProcessesThatMayBeCutOff() {
+            membership.heardOf(member("10.0.0.2", 1, 1));
+            time.advance(Duration.ofSeconds(20));
+
+            assertThat(membership.beatTargets(3)).hasSize(1);
+        }
+
+        @Test
+        void forgetProcessesAfterAMinute() {
+            membership.heardOf(member("10.0.0.2", 1, 1));
+            time.advance(Duration.ofSeconds(61));
+
+            assertThat(membership.beatTargets(3)).isEmpty();
+        }
+    }
+}
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -123,6 +123,14 @@
         state.directory.replaceAll(targets);
     }
 
+    /** Takes a report of a target's load. */
+    public void onTargetLoad(String instanceId, long startedMillis, int busy) {
+        Target target = state.directory.find(instanceId);
+        if (target != null && target.startedMillis() == startedMillis) {
+            state.placement.load(target).onReport(state.time.monotonicNanos(), busy);
+        }
+    }
+
     /** Sets how many entries share the budget for sending again. */
     public void setEntries(int entries) {
         state.setEntries(entries);
--- /dev/null
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -0,0 +1,39 @@
+package firwheel.wire;
+
+import java.util.List;
+
+/** Datagrams between the processes of one deployment. Each stands alone, since any may be lost. */
+public sealed interface MeshMessage extends Message {
+    /**
+     * One process as others know it.
+     *
+     * @param ip IP number, at which it also listens for datagrams
+     * @param availabilityZone zone of its host
+     * @param role what the process does
+     * @param incarnation Unix millisecond of its start; a later start replaces an earlier one
+     * @param beat number that rises with each beat of the process
+     */
+    record Member(String ip, String availabilityZone, String role, long incarnation, long beat) {}
+
+    /**
+     * Sign of life, with what the sender knows.
+     *
+     * @param self the sender
+     * @param configRevision store revision of the configuration in force at the sender
+     * @param registryRevision store revision of the last change of the target registry that the sender knows
+     * @param others some of the processes that the sender believes alive
+     */
+    record Beat(Member self, long configRevision, long registryRevision, List<Member> others) implements MeshMessage {}
+
+    /**
+     * Load of a target, read on its own host.
+     *
+     * @param instanceId name of the target
+     * @param startedMillis Unix time of its start
+     * @param running requests that it computes
+     * @param waiting requests that wait in its queue
+     * @param memoryTokens tokens in its memory that cannot be evicted
+     */
+    record TargetLoad(String instanceId, long startedMillis, int running, int waiting, long memoryTokens)
+            implements MeshMessage {}
+}
--- a/wire/src/main/java/firwheel/wire/MessageCodec.java
+++ b/wire/src/main/java/firwheel/wire/MessageCodec.java
@@ -30,6 +30,7 @@
             mapper.configOverride(type.messageClass()).setFormat(asArray);
         }
         mapper.configOverride(AttemptId.class).setFormat(asArray);
+        mapper.configOverride(MeshMessage.Member.class).setFormat(asArray);
     }
 
     /** Encodes a message without its length prefix. */
--- a/wire/src/main/java/firwheel/wire/MessageType.java
+++ b/wire/src/main/java/firwheel/wire/MessageType.java
@@ -24,7 +24,9 @@
     PROBE(30, LoadMessage.Probe.class),
     LOAD_REPORT(31, LoadMessage.Report.class),
     CLOCK(32, LoadMessage.Clock.class),
-    TABLE(40, TableFrame.class);
+    TABLE(40, TableFrame.class),
+    BEAT(50, MeshMessage.Beat.class),
+    TARGET_LOAD(51, MeshMessage.TargetLoad.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
--- a/wire/src/main/java/firwheel/wire/SharedKey.java
+++ b/wire/src/main/java/firwheel/wire/SharedKey.java
@@ -19,7 +19,7 @@
     }
 
     /** Returns the message authentication code over {@code parts}, each preceded by its length. */
-    byte[] mac(List<byte[]> parts) {
+    public byte[] mac(List<byte[]> parts) {
         try {
             Mac mac = Mac.getInstance(ALGORITHM);
             mac.init(key);
@@ -35,7 +35,7 @@
     }
 
     /** Compares two codes in constant time. */
-    static boolean matches(byte[] expected, byte[] presented) {
+    public static boolean matches(byte[] expected, byte[] presented) {
         return MessageDigest.isEqual(expected, presented);
     }
 
