Rollout of expert maps to engines that switch at a step, explored by a model

Cause: engines take prepare, arm, disarm, hold and go; the protocol of promises does not fit them. Seen in a trial: only a preparation raises the count of orders, and a duplicated hold that is late can hold a released pass again. Ruled out: naming the order count in release and disarm (they do not raise it).

--- /dev/null
+++ b/experts/src/test/java/firwheel/experts/rollout/GroupModel.java
@@ -0,0 +1,155 @@
+package firwheel.experts.rollout;
+
+import firwheel.experts.rollout.RankOrder.Action;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** A group of engines as its pages describe it. */
+final class GroupModel {
+    private static final int FIELDS = 7;
+    private static final int MAP = 0;
+    private static final int PREPARED = 1;
+    private static final int ARMED = 2;
+    private static final int ARMED_STEP = 3;
+    private static final int HELD = 4;
+    private static final int ORDERS = 5;
+    private static final int NEWEST = 6;
+
+    private final long[][] ranks;
+    private long step;
+    private boolean holdsIgnored;
+    private boolean allOrdersCount;
+
+    GroupModel(int size) {
+        ranks = new long[size][FIELDS];
+        for (long[] rank : ranks) {
+            Arrays.fill(rank, RankView.NONE);
+            rank[MAP] = 0;
+            rank[ORDERS] = 0;
+            rank[NEWEST] = 0;
+        }
+    }
+
+    List<RankView> views() {
+        List<RankView> views = new ArrayList<>();
+        for (int i = 0; i < ranks.length; i++) {
+            long[] rank = ranks[i];
+            views.add(new RankView(
+                    i,
+                    1,
+                    true,
+                    step,
+                    rank[MAP],
+                    rank[PREPARED],
+                    rank[ARMED],
+                    rank[ARMED_STEP],
+                    rank[HELD],
+                    rank[ORDERS]));
+        }
+        return views;
+    }
+
+    boolean sameMaps() {
+        return Arrays.stream(ranks).mapToLong(rank -> rank[MAP]).distinct().count() == 1;
+    }
+
+    /** Makes passes begin whether held or not, as a seeded mistake. */
+    void ignoreHolds(boolean ignored) {
+        holdsIgnored = ignored;
+    }
+
+    /** Makes the engines count every order that they carry out, not only preparations. */
+    void countAllOrders(boolean counted) {
+        allOrdersCount = counted;
+    }
+
+    boolean held() {
+        return !holdsIgnored && Arrays.stream(ranks).anyMatch(rank -> rank[HELD] == step + 1);
+    }
+
+    /** Begins the next pass unless it is held back; returns whether it did. */
+    boolean pass() {
+        if (held()) {
+            return false;
+        }
+        step++;
+        for (long[] rank : ranks) {
+            if (rank[ARMED] != RankView.NONE && rank[ARMED_STEP] == step) {
+                rank[MAP] = rank[ARMED];
+                rank[ARMED] = RankView.NONE;
+                rank[ARMED_STEP] = RankView.NONE;
+            }
+        }
+        return true;
+    }
+
+    /** Carries an order out, or refuses it. */
+    void carryOut(RankOrder order) {
+        long[] rank = ranks[order.rank()];
+        if (order.expectedOrders() != RankView.NONE && order.expectedOrders() != rank[ORDERS]) {
+            return;
+        }
+        boolean begun = begins(order, rank);
+        if (begun && (allOrdersCount || order.action() == Action.PREPARE)) {
+            rank[ORDERS]++;
+        }
+    }
+
+    private boolean begins(RankOrder order, long[] rank) {
+        return switch (order.action()) {
+            case PREPARE -> prepare(order, rank);
+            case ARM -> arm(order, rank);
+            case DISARM -> disarm(order, rank);
+            case HOLD -> hold(order, rank);
+            case RELEASE -> release(order, rank);
+        };
+    }
+
+    private static boolean prepare(RankOrder order, long[] rank) {
+        if (order.version() <= rank[NEWEST] || rank[ARMED] != RankView.NONE) {
+            return false;
+        }
+        rank[NEWEST] = order.version();
+        rank[PREPARED] = order.version();
+        return true;
+    }
+
+    private boolean arm(RankOrder order, long[] rank) {
+        if (order.version() != rank[PREPARED] || order.step() <= step || rank[ARMED] != RankView.NONE) {
+            return false;
+        }
+        rank[ARMED] = order.version();
+        rank[ARMED_STEP] = order.step();
+        return true;
+    }
+
+    private static boolean disarm(RankOrder order, long[] rank) {
+        if (rank[ARMED] != order.version()) {
+            return false;
+        }
+        rank[ARMED] = RankView.NONE;
+        rank[ARMED_STEP] = RankView.NONE;
+        return true;
+    }
+
+    private boolean hold(RankOrder order, long[] rank) {
+        if (order.step() <= step || rank[HELD] != RankView.NONE) {
+            return false;
+        }
+        rank[HELD] = order.step();
+        return true;
+    }
+
+    private static boolean release(RankOrder order, long[] rank) {
+        if (rank[HELD] != order.step() || order.action() != Action.RELEASE) {
+            return false;
+        }
+        rank[HELD] = RankView.NONE;
+        return true;
+    }
+
+    String key() {
+        return step + Arrays.deepToString(ranks);
+    }
+}
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -162,6 +162,11 @@
     }
 
     private void onConnection(HttpConnection connection) {
+        if (lingered) {
+            // Nothing was read, so that the caller may send the same request to another entry.
+            var unused = connection.close();
+            return;
+        }
         CallerConnection caller = new CallerConnection();
         caller.idleSinceNanos = state.time.monotonicNanos();
         callers.put(connection, caller);
@@ -176,6 +181,10 @@
         RequestRun run = new RequestRun(state, request, state.protocol.readRequest(request), this::onRunEnd);
         running.add(run);
         state.metrics.setInFlight(running.size());
+        if (lingered) {
+            run.refuse(Refusal.of(ResultCode.DRAINING, "arrived after the drain had begun", Duration.ZERO));
+            return;
+        }
         request.response().endHandler(ignored -> onAnswered(caller));
         request.response().closeHandler(ignored -> run.onCallerGone());
         request.response().exceptionHandler(error -> run.onCallerGone());
