--- a/bench/src/main/java/firwheel/bench/experts/PlannerTrial.java
+++ b/bench/src/main/java/firwheel/bench/experts/PlannerTrial.java
@@ -28,7 +28,7 @@
     private static final double REPORT_WEIGHT = 0.5;
     private static final double LOST_REPORTS = 0.1;
     static final CostModel COSTS = new CostModel(4e-7, 10.0 * STEPS_PER_ROUND, 44L << 20, 10e9, 1e9, 0.1, 1.0, 0.05);
-    static final PlanLimits LIMITS = new PlanLimits(100_000, 64, 1.5);
+    static final PlanLimits LIMITS = new PlanLimits(100_000, 64, 100_000, 1.5);
 
     private final PlannerCase planner;
     private final Scenario scenario;
--- a/cli/src/main/java/firwheel/cli/Commands.java
+++ b/cli/src/main/java/firwheel/cli/Commands.java
@@ -19,6 +19,8 @@
             new Entry("entry", "Runs an entry.", EntryCommand::new),
             new Entry("agent", "Runs an agent beside a target.", AgentCommand::new),
             new Entry("platform-entry", "Runs an entry on the users' platform.", PlatformEntryCommand::new),
+            new Entry(
+                    "platform-agent", "Runs an agent beside a rank on the users' platform.", PlatformAgentCommand::new),
             new Entry("table export", "Prints the table as CSV.", TableExportCommand::new),
             new Entry("table check", "Checks a table file.", TableCheckCommand::new),
             new Entry("table diff", "Shows what a table file would change.", TableDiffCommand::new),
--- a/experts/src/main/java/firwheel/experts/plan/IncrementalPlanner.java
+++ b/experts/src/main/java/firwheel/experts/plan/IncrementalPlanner.java
@@ -37,7 +37,7 @@
     private static LayerChange search(PlanningInput input, int layer, Evacuation evacuation, LayerPlacement placement) {
         double before = placement.expectedSkewSeconds();
         LayerChange best = new LayerChange(layer, evacuation, List.of(), evacuation.slots(), before, before, 0, 0);
-        LayerSearch search = new LayerSearch(placement, layer);
+        LayerSearch search = new LayerSearch(placement, layer, input.limits().maxLoadsPerRank());
         List<ExpertMove> moves = new ArrayList<>();
         while (moves.size() < input.limits().maxMovesPerLayer()) {
             List<ExpertMove> next = search.next();
--- a/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
+++ b/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
@@ -17,10 +17,14 @@
 
     private final LayerPlacement placement;
     private final int layer;
+    private final int maxLoadsPerRank;
+    private final int[] loads;
 
-    LayerSearch(LayerPlacement placement, int layer) {
+    LayerSearch(LayerPlacement placement, int layer, int maxLoadsPerRank) {
         this.placement = placement;
         this.layer = layer;
+        this.maxLoadsPerRank = maxLoadsPerRank;
+        loads = new int[placement.ranks()];
     }
 
     /** Applies the next move to the placement and returns it, an exchange as two; empty if none relieves it. */
@@ -48,7 +52,8 @@
         int expert = placement.expert(hot, hotSlot);
         Candidate best = null;
         for (int rank = 0; rank < placement.ranks(); rank++) {
-            if (rank == hot || !placement.serves(rank) || placement.holds(rank, expert)) {
+            boolean full = loads[rank] >= maxLoadsPerRank;
+            if (rank == hot || full || !placement.serves(rank) || placement.holds(rank, expert)) {
                 continue;
             }
             for (int slot = 0; slot < placement.slotCount(rank); slot++) {
@@ -62,7 +67,7 @@
         int other = placement.expert(rank, slot);
         boolean spare = other == ExpertMap.EMPTY || placement.copies(other) > 1;
         Candidate copy = spare ? weighCopy(hot, hotSlot, rank, slot) : null;
-        boolean exchangeable = other != ExpertMap.EMPTY && !placement.holds(hot, other);
+        boolean exchangeable = other != ExpertMap.EMPTY && !placement.holds(hot, other) && loads[hot] < maxLoadsPerRank;
         return exchangeable ? better(copy, weighExchange(hot, hotSlot, rank, slot)) : copy;
     }
 
@@ -113,9 +118,11 @@
         Kind kind = chosen.exchange ? Kind.SWAP : Kind.REPLICATE;
         moves.add(new ExpertMove(kind, layer, expert, chosen.hot, chosen.rank, other));
         placement.set(chosen.rank, chosen.slot, expert);
+        loads[chosen.rank]++;
         if (chosen.exchange) {
             moves.add(new ExpertMove(kind, layer, other, chosen.rank, chosen.hot, expert));
             placement.set(chosen.hot, chosen.hotSlot, other);
+            loads[chosen.hot]++;
         }
         return moves;
     }
--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -134,6 +134,11 @@
         return version;
     }
 
+    /** Returns the newest version that any order of this rollout named. */
+    public long newestVersion() {
+        return Math.max(version, voidVersion);
+    }
+
     /** Takes reports of all ranks, by rank, and returns the orders to give now; a new formation ends the rollout. */
     public List<RankOrder> next(List<RankView> views, long nowMillis) {
         if (finished()) {
--- a/experts/src/test/java/firwheel/experts/plan/IncrementalPlannerTest.java
+++ b/experts/src/test/java/firwheel/experts/plan/IncrementalPlannerTest.java
@@ -20,7 +20,7 @@
     private static final int SEEDS = 300;
     private static final CostModel COSTS = new CostModel(1e-6, 10_000, 44L << 20, 10e9, 1e9, 0.1, 1, 0.05);
     private static final PlanPrices PRICES = new PlanPrices(1, 0.01);
-    private static final PlanLimits LIMITS = new PlanLimits(1_000, 32, 1.5);
+    private static final PlanLimits LIMITS = new PlanLimits(1_000, 32, 1_000, 1.5);
     private final MapPlanner planner = new IncrementalPlanner();
 
     private static double[][] popularity(Random random) {
@@ -84,7 +84,7 @@
         @Test
         void staysWithinTheBoundOnMoves() {
             PlanningInput all = input(popularity(new Random(1)), serving(), PRICES);
-            PlanLimits few = new PlanLimits(3, 3, 1.5);
+            PlanLimits few = new PlanLimits(3, 3, 1_000, 1.5);
             MapPlan plan =
                     planner.plan(new PlanningInput(all.map(), all.load(), all.ranks(), all.prices(), all.costs(), few));
             assertThat(plan.moves()).hasSizeBetween(1, 3);
--- /dev/null
+++ b/mesh/src/main/java/firwheel/mesh/SealedHttp.java
@@ -0,0 +1,131 @@
+package firwheel.mesh;
+
+import firwheel.model.EventCode;
+import firwheel.model.Events;
+import firwheel.model.FirwheelException;
+import firwheel.model.ResultCode;
+import firwheel.wire.SharedKey;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.RequestOptions;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Calls between processes of one deployment whose content does not fit into a datagram. Request and reply carry a code
+ * over path and content made with the shared key. Every call uses a connection of its own, since a kept one may have
+ * fallen silent.
+ */
+public final class SealedHttp {
+    private static final String CODE_HEADER = "X-Code";
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300); // hosts are a few ms apart
+    private static final int OK = 200;
+    private static final int FORBIDDEN = 403;
+    private static final int NOT_FOUND = 404;
+    private static final int FAILED = 500;
+    private static final Logger logger = LoggerFactory.getLogger(SealedHttp.class);
+
+    private final Vertx vertx;
+    private final SharedKey key;
+    private final int port;
+    private final HttpClient client;
+    private final Map<String, Function<byte[], CompletableFuture<byte[]>>> handlers = new HashMap<>();
+
+    /** Creates an end; all processes use the same {@code port}. */
+    public SealedHttp(Vertx vertx, SharedKey key, int port) {
+        this.vertx = vertx;
+        this.key = key;
+        this.port = port;
+        client = vertx.createHttpClient(
+                new HttpClientOptions().setKeepAlive(false).setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
+    }
+
+    /** Sets what answers calls of {@code path}. */
+    public void serve(String path, Function<byte[], CompletableFuture<byte[]>> handler) {
+        handlers.put(path, handler);
+    }
+
+    /** Listens for calls. */
+    public CompletableFuture<HttpServer> listen(String ip) {
+        return vertx.createHttpServer()
+                .requestHandler(request -> request.bodyHandler(body -> answer(request, body.getBytes())))
+                .listen(port, ip)
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    /** Calls a process and returns its reply; fails when none that is authentic arrives in time. */
+    public CompletableFuture<byte[]> call(String ip, String path, byte[] content, Duration timeout) {
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(ip)
+                .setPort(port)
+                .setURI(path)
+                .setIdleTimeout(timeout.toMillis());
+        Future<byte[]> reply = client.request(options).compose(request -> {
+            request.putHeader(CODE_HEADER, code(path, content));
+            return request.send(Buffer.buffer(content)).compose(response -> response.body()
+                    .map(body ->
+                            checked(path, response.statusCode(), body.getBytes(), response.getHeader(CODE_HEADER))));
+        });
+        return reply.toCompletionStage().toCompletableFuture();
+    }
+
+    private void answer(HttpServerRequest request, byte[] content) {
+        String path = request.path();
+        if (!code(path, content).equals(request.getHeader(CODE_HEADER))) {
+            Events.log(logger, EventCode.LINK_REFUSED, "peer", request.remoteAddress(), "reason", "no valid code");
+            end(request, FORBIDDEN, new byte[0]);
+            return;
+        }
+        Function<byte[], CompletableFuture<byte[]>> handler = handlers.get(path);
+        if (handler == null) {
+            end(request, NOT_FOUND, new byte[0]);
+            return;
+        }
+        var unused = handler.apply(content).whenComplete((reply, error) -> {
+            if (error == null) {
+                end(request, OK, reply);
+            } else {
+                logger.atInfo()
+                        .addKeyValue("path", path)
+                        .addKeyValue("reason", String.valueOf(error.getMessage()))
+                        .log("call of a peer failed");
+                end(request, FAILED, new byte[0]);
+            }
+        });
+    }
+
+    private void end(HttpServerRequest request, int status, byte[] reply) {
+        var unused = request.response()
+                .setStatusCode(status)
+                .putHeader(CODE_HEADER, code(request.path(), reply))
+                .end(Buffer.buffer(reply));
+    }
+
+    private byte[] checked(String path, int status, byte[] reply, @Nullable String code) {
+        if (status != OK || !code(path, reply).equals(code)) {
+            throw new FirwheelException(ResultCode.LINK_LOST, "reply to " + path + " with status " + status);
+        }
+        return reply;
+    }
+
+    private String code(String path, byte[] content) {
+        return HexFormat.of().formatHex(key.mac(List.of(path.getBytes(StandardCharsets.UTF_8), content)));
+    }
+}
--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -31,7 +31,8 @@
     LINK_DOWN(503, Severity.INFO, "A link to a peer is down."),
     MAP_COMMITTED(601, Severity.INFO, "A group switched to a new expert map."),
     MAP_ABORTED(602, Severity.WARN, "A proposed expert map was aborted."),
-    PLAN_SKIPPED(603, Severity.INFO, "A planning round changed nothing; the reason is in the event.");
+    PLAN_SKIPPED(603, Severity.INFO, "A planning round changed nothing; the reason is in the event."),
+    MAP_PLANNED(604, Severity.INFO, "A better expert map was planned and is rolled out.");
 
     /** Severity of an event, as the logging library names it. */
     public enum Severity {
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -124,8 +124,8 @@
     }
 
     /** Takes a report of a target's load. */
-    public void onTargetLoad(String instanceId, long startedMillis, int busy) {
-        Target target = state.directory.find(instanceId);
+    public void onTargetLoad(String ip, int port, long startedMillis, int busy) {
+        Target target = state.directory.findByAddress(ip, port);
         if (target != null && target.startedMillis() == startedMillis) {
             state.placement.load(target).onReport(state.time.monotonicNanos(), busy);
         }
--- /dev/null
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -0,0 +1,451 @@
+package firwheel.rebalance;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.experts.rollout.MapRollout;
+import firwheel.experts.rollout.RankOrder;
+import firwheel.experts.rollout.RankView;
+import firwheel.mesh.SealedHttp;
+import firwheel.model.EventCode;
+import firwheel.model.Events;
+import firwheel.model.TimeSource;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs beside every rank; the one that is elected reads the choices of all ranks, plans, and rolls new maps out. One that
+ * follows stands for election once it has heard no controller for a while. All methods run on one event loop.
+ */
+public final class MapController {
+    /**
+     * What the controller works with.
+     *
+     * @param agentIps returns the hosts of all living agents but this one
+     * @param engineAt returns the engine at an address, for ranks whose agent does not answer
+     * @param policies returns the policy for a group, once its figures are known
+     */
+    public record Environment(
+            Supplier<List<String>> agentIps,
+            Function<EngineAddress, Engine> engineAt,
+            Supplier<@Nullable MapPolicy> policies) {}
+
+    private static final Duration READ_INTERVAL =
+            Duration.ofMillis(500); // half of what a shift of demand needs to show
+    private static final Duration DRIVE_INTERVAL = Duration.ofMillis(25); // below one pass
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(250); // hosts are a few ms apart
+    private static final Duration ELECTION_SILENCE = Duration.ofMillis(1_100); // two readings missed
+    private static final Duration ELECTION_STAGGER = Duration.ofMillis(120); // the first candidate wins before the next
+    private static final Duration FIRST_ELECTION = Duration.ofSeconds(3); // agents find each other first
+    private static final int MAX_FAILED_READINGS = 8; // about as long as a group may wait for a held pass
+    private static final MapRollout.Limits LIMITS = new MapRollout.Limits(
+            3, Duration.ofSeconds(4), Duration.ofMillis(600), Duration.ofMillis(400)); // a group waits below a second
+    private static final Logger logger = LoggerFactory.getLogger(MapController.class);
+
+    private final Vertx vertx;
+    private final TimeSource time;
+    private final RankAgent agent;
+    private final Engine engine;
+    private final SealedHttp http;
+    private final ControllerElection election;
+    private final Environment environment;
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final Map<Integer, Rank> ranks = new TreeMap<>();
+    private String group = "";
+    private long term;
+    private long epoch = -1;
+    private boolean cleared;
+    private long newestVersion;
+    private long @Nullable [] lastCounts;
+    private @Nullable MapRollout rollout;
+    private int[][][] present = {};
+    private int failedReadings;
+    private long startedNanos;
+
+    /** A rank of the group and how to reach it. */
+    private record Rank(String agentIp, EngineAddress engine) {}
+
+    /** A reading and the host that it came from. */
+    private record Answer(String agentIp, RankCall.@Nullable Reading reading) {}
+
+    /** Creates a controller that is not started; {@code engine} is the one on this host. */
+    public MapController(
+            Vertx vertx,
+            TimeSource time,
+            RankAgent agent,
+            Engine engine,
+            SealedHttp http,
+            ControllerElection election,
+            Environment environment) {
+        this.vertx = vertx;
+        this.time = time;
+        this.agent = agent;
+        this.engine = engine;
+        this.http = http;
+        this.election = election;
+        this.environment = environment;
+        startedNanos = time.monotonicNanos();
+    }
+
+    /** Starts following or controlling; it never ends. */
+    public void start() {
+        vertx.setTimer(READ_INTERVAL.toMillis(), id -> tick());
+    }
+
+    private void tick() {
+        CompletableFuture<Void> round = CompletableFuture.<Void>completedFuture(null)
+                .thenCompose(begun -> term > 0 && term >= agent.term() ? control() : follow());
+        var unused = round.whenComplete((done, error) -> {
+            if (error != null) {
+                logger.atInfo()
+                        .addKeyValue("group", group)
+                        .addKeyValue("reason", String.valueOf(error.getMessage()))
+                        .log("a round of the map controller failed");
+            }
+            MapRollout open = rollout;
+            Duration pause = open == null ? READ_INTERVAL : DRIVE_INTERVAL;
+            vertx.setTimer(pause.toMillis(), id -> tick());
+        });
+    }
+
+    /** Waits for a controller to be heard, and stands for election when none is. */
+    private CompletableFuture<Void> follow() {
+        if (term > 0) {
+            Events.log(logger, EventCode.LEASE_RELEASED, "group", group, "term", term, "newerTerm", agent.term());
+            term = 0;
+            rollout = null;
+            agent.resetSilence();
+        }
+        return engine.state().thenCompose(state -> {
+            group = state.group();
+            Duration patience = ELECTION_SILENCE.plus(
+                    ELECTION_STAGGER.multipliedBy(state.view().rank()));
+            boolean early = time.monotonicNanos() - startedNanos < FIRST_ELECTION.toNanos();
+            if (group.isEmpty() || early || agent.silence().compareTo(patience) < 0) {
+                return CompletableFuture.<Void>completedFuture(null);
+            }
+            return stand();
+        });
+    }
+
+    private CompletableFuture<Void> stand() {
+        return election.tryWin(group).thenAccept(won -> {
+            agent.resetSilence();
+            if (won > 0) {
+                term = won;
+                agent.learnTerm(won);
+                cleared = false;
+                epoch = -1;
+                Events.log(logger, EventCode.LEASE_ACQUIRED, "group", group, "term", won);
+            }
+        });
+    }
+
+    private CompletableFuture<Void> control() {
+        MapRollout open = rollout;
+        return open == null ? observe() : drive(open);
+    }
+
+    /** Reads all ranks and starts a rollout where one is due. */
+    private CompletableFuture<Void> observe() {
+        List<CompletableFuture<Answer>> calls = new ArrayList<>();
+        RankCall.Read read = new RankCall.Read(term, true, true);
+        for (String ip : environment.agentIps().get()) {
+            calls.add(readAgent(ip, read));
+        }
+        calls.add(agent.read(read).thenApply(reading -> new Answer("", reading)));
+        return all(calls).thenAccept(this::onObserved);
+    }
+
+    private void onObserved(List<Answer> answers) {
+        Map<Integer, RankCall.Reading> readings = new HashMap<>();
+        int size = 0;
+        for (Answer answer : answers) {
+            RankCall.Reading reading = answer.reading();
+            if (reading != null
+                    && reading.state() != null
+                    && reading.state().group().equals(group)) {
+                int rank = reading.state().view().rank();
+                readings.put(rank, reading);
+                ranks.put(rank, new Rank(answer.agentIp(), reading.engine()));
+                size = reading.state().groupSize();
+            }
+        }
+        List<RankView> views = views(readings, size);
+        if (views.isEmpty() || !readable(readings, size)) {
+            return;
+        }
+        present = placement(readings, size);
+        newestVersion = Math.max(newestVersion, MapRollout.newestVersion(views));
+        if (views.get(0).epoch() != epoch) {
+            epoch = views.get(0).epoch();
+            lastCounts = null;
+            cleared = false;
+        }
+        if (!cleared) {
+            rollout = MapRollout.takeOver(LIMITS, views, present, time.monotonicMillis());
+            return;
+        }
+        considerMap(readings, views);
+    }
+
+    private void considerMap(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
+        MapPolicy policy = environment.policies().get();
+        long[] counts = totals(readings);
+        long[] before = lastCounts;
+        lastCounts = counts;
+        if (policy == null) {
+            return;
+        }
+        if (before == null || before.length != counts.length) {
+            policy.reset();
+            return;
+        }
+        long[] choices = new long[counts.length];
+        for (int i = 0; i < counts.length; i++) {
+            choices[i] = Math.max(0, counts[i] - before[i]);
+        }
+        policy.onChoices(choices);
+        int[][][] planned = policy.plan(present);
+        if (planned != null) {
+            newestVersion++;
+            Events.log(
+                    logger,
+                    EventCode.MAP_PLANNED,
+                    "group",
+                    group,
+                    "version",
+                    newestVersion,
+                    "imbalance",
+                    policy.imbalance(present),
+                    "planned",
+                    policy.imbalance(planned));
+            rollout = MapRollout.begin(
+                    LIMITS, views, newestVersion, views.size() - 1, planned, present, time.monotonicMillis());
+        }
+    }
+
+    /** Reads all ranks and gives the orders that the rollout asks for. */
+    private CompletableFuture<Void> drive(MapRollout open) {
+        List<CompletableFuture<Answer>> calls = new ArrayList<>();
+        RankCall.Read read = new RankCall.Read(term, false, false);
+        ranks.values().forEach(rank -> calls.add(readRank(rank, read, open)));
+        return all(calls).thenCompose(answers -> {
+            Map<Integer, RankCall.Reading> readings = new HashMap<>();
+            for (Answer answer : answers) {
+                RankCall.Reading reading = answer.reading();
+                if (reading != null && reading.state() != null) {
+                    readings.put(reading.state().view().rank(), reading);
+                }
+            }
+            List<RankView> views = views(readings, ranks.size());
+            if (views.isEmpty()) {
+                return onUnreadable(open);
+            }
+            failedReadings = 0;
+            return give(open, open.next(views, time.monotonicMillis()));
+        });
+    }
+
+    private CompletableFuture<Void> onUnreadable(MapRollout open) {
+        if (++failedReadings >= MAX_FAILED_READINGS) {
+            Events.log(logger, EventCode.MAP_ABORTED, "group", group, "reason", "ranks cannot be read", "state", open);
+            failedReadings = 0;
+            cleared = false;
+            rollout = null;
+        }
+        return CompletableFuture.completedFuture(null);
+    }
+
+    private CompletableFuture<Void> give(MapRollout open, List<RankOrder> orders) {
+        if (open.finished()) {
+            boolean switched = open.phase() == MapRollout.Phase.DONE;
+            if (cleared || switched) {
+                Events.log(
+                        logger,
+                        switched ? EventCode.MAP_COMMITTED : EventCode.MAP_ABORTED,
+                        "group",
+                        group,
+                        "version",
+                        open.version(),
+                        "state",
+                        open);
+            }
+            cleared = true;
+            newestVersion = Math.max(newestVersion, open.newestVersion());
+            rollout = null;
+            return CompletableFuture.completedFuture(null);
+        }
+        List<CompletableFuture<Boolean>> calls = new ArrayList<>();
+        orders.forEach(order -> calls.add(giveOrder(order)));
+        return all(calls).thenApply(done -> null);
+    }
+
+    private CompletableFuture<Boolean> giveOrder(RankOrder order) {
+        Rank rank = ranks.get(order.rank());
+        if (rank == null) {
+            return CompletableFuture.completedFuture(false);
+        }
+        if (rank.agentIp().isEmpty()) {
+            return bounded(agent.order(new RankCall.Order(term, order)).thenApply(RankCall.OrderReply::taken));
+        }
+        boolean closes = order.action() != RankOrder.Action.ARM && order.action() != RankOrder.Action.HOLD;
+        CompletableFuture<Boolean> byAgent = http.call(
+                        rank.agentIp(), RankCall.ORDER_PATH, encode(new RankCall.Order(term, order)), CALL_TIMEOUT)
+                .thenApply(reply -> onOrderReply(decode(reply, RankCall.OrderReply.class)));
+        // Only what ends a rollout may pass by an agent, which would have refused it from an earlier controller.
+        MapRollout open = rollout;
+        boolean mayPassBy = closes && open != null && open.mayHold();
+        return mayPassBy
+                ? orElse(
+                        byAgent,
+                        () -> environment.engineAt().apply(rank.engine()).give(order))
+                : bounded(byAgent);
+    }
+
+    private boolean onOrderReply(RankCall.OrderReply reply) {
+        agent.learnTerm(reply.term());
+        return reply.taken();
+    }
+
+    private CompletableFuture<Answer> readRank(Rank rank, RankCall.Read read, MapRollout open) {
+        if (rank.agentIp().isEmpty()) {
+            return orAbsent(agent.read(read).thenApply(reading -> new Answer("", reading)));
+        }
+        CompletableFuture<Answer> byAgent = readAgent(rank.agentIp(), read);
+        if (!open.mayHold()) {
+            return byAgent;
+        }
+        return byAgent.thenCompose(answer -> answer.reading() != null
+                ? CompletableFuture.completedFuture(answer)
+                : orAbsent(environment
+                        .engineAt()
+                        .apply(rank.engine())
+                        .state()
+                        .thenApply(state -> new Answer(
+                                rank.agentIp(), new RankCall.Reading(term, rank.engine(), state, null, null)))));
+    }
+
+    private CompletableFuture<Answer> readAgent(String ip, RankCall.Read read) {
+        return http.call(ip, RankCall.READ_PATH, encode(read), CALL_TIMEOUT)
+                .thenApply(reply -> {
+                    RankCall.Reading reading = decode(reply, RankCall.Reading.class);
+                    agent.learnTerm(reading.term());
+                    return new Answer(ip, reading);
+                })
+                .exceptionally(error -> new Answer(ip, null));
+    }
+
+    private static CompletableFuture<Answer> orAbsent(CompletableFuture<Answer> answer) {
+        return answer.exceptionally(error -> new Answer("", null));
+    }
+
+    private static CompletableFuture<Boolean> orElse(
+            CompletableFuture<Boolean> first, Supplier<CompletableFuture<Boolean>> second) {
+        return first.handle((taken, error) -> error == null)
+                .thenCompose(answered -> answered ? first : second.get())
+                .exceptionally(error -> false);
+    }
+
+    /** An order that gets no answer is given again after the next reading. */
+    private static CompletableFuture<Boolean> bounded(CompletableFuture<Boolean> call) {
+        return call.exceptionally(error -> false);
+    }
+
+    private static <T> CompletableFuture<List<T>> all(List<CompletableFuture<T>> calls) {
+        return CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]))
+                .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
+    }
+
+    private static List<RankView> views(Map<Integer, RankCall.Reading> readings, int size) {
+        List<RankView> views = new ArrayList<>();
+        for (int rank = 0; rank < size; rank++) {
+            RankCall.Reading reading = readings.get(rank);
+            if (reading == null || reading.state() == null) {
+                return List.of();
+            }
+            views.add(reading.state().view());
+        }
+        return views;
+    }
+
+    /** Returns whether all ranks are open in one formation and told their experts. */
+    private static boolean readable(Map<Integer, RankCall.Reading> readings, int size) {
+        for (int rank = 0; rank < size; rank++) {
+            RankCall.Reading reading = readings.get(rank);
+            RankCall.Reading first = readings.get(0);
+            if (reading == null || first == null || reading.state() == null || first.state() == null) {
+                return false;
+            }
+            boolean same =
+                    reading.state().view().epoch() == first.state().view().epoch()
+                            && reading.state().view().mapVersion()
+                                    == first.state().view().mapVersion();
+            if (!same || !reading.state().view().open() || reading.placed() == null || reading.counts() == null) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static int[][][] placement(Map<Integer, RankCall.Reading> readings, int size) {
+        int[][][] placement = new int[0][][];
+        for (int rank = 0; rank < size; rank++) {
+            RankCall.Reading reading = readings.get(rank);
+            int[][] placed = reading == null ? null : reading.placed();
+            if (placed == null) {
+                continue;
+            }
+            if (placement.length == 0) {
+                placement = new int[placed.length][size][];
+            }
+            for (int set = 0; set < placed.length; set++) {
+                placement[set][rank] = placed[set];
+            }
+        }
+        return placement;
+    }
+
+    private static long[] totals(Map<Integer, RankCall.Reading> readings) {
+        long[] totals = new long[0];
+        for (RankCall.Reading reading : readings.values()) {
+            long[] counts = reading.counts();
+            if (counts == null) {
+                continue;
+            }
+            totals = totals.length == 0 ? new long[counts.length] : totals;
+            for (int i = 0; i < totals.length; i++) {
+                totals[i] += counts[i];
+            }
+        }
+        return totals;
+    }
+
+    private byte[] encode(Object value) {
+        try {
+            return mapper.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private <T> T decode(byte[] content, Class<T> type) {
+        try {
+            return mapper.readValue(content, type);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
@@ -0,0 +1,156 @@
+package firwheel.rebalance;
+
+import firwheel.experts.ExpertMap;
+import firwheel.experts.plan.CostModel;
+import firwheel.experts.plan.IncrementalPlanner;
+import firwheel.experts.plan.LoadEstimate;
+import firwheel.experts.plan.PlanLimits;
+import firwheel.experts.plan.PlanPrices;
+import firwheel.experts.plan.PlanningInput;
+import firwheel.experts.plan.RankCondition;
+import java.util.Collections;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides whether a group's map is worth changing, and to what. Keeps the choices of experts as a fading mean, since
+ * demand moves on within seconds. No I/O.
+ */
+public final class MapPolicy {
+    private static final double NEWEST_WEIGHT = 0.6; // a shift of demand counts for most of the estimate after a second
+    private static final double LEAST_RELIEF = 0.06; // above the noise of half a second of choices
+    private static final double MIN_CHOICES_PER_EXPERT = 20; // below it the shares of experts are chance
+    private static final CostModel RELATIVE_COSTS = new CostModel(1e-6, 1, 1, 1, 1, 0, 0, 0);
+    private static final PlanPrices SKEW_ONLY = new PlanPrices(1, 0); // loads are bounded by the limits instead
+    private static final int MAX_MOVES = 10_000; // each layer has a bound of its own
+
+    private final int sets;
+    private final int experts;
+    private final int places;
+    private final int spare;
+    private final IncrementalPlanner planner = new IncrementalPlanner();
+    private @Nullable LoadEstimate estimate;
+
+    /** Creates a policy for a group whose engines have these figures. */
+    public MapPolicy(int sets, int experts, int places, int spare) {
+        this.sets = sets;
+        this.experts = experts;
+        this.places = places;
+        this.spare = spare;
+    }
+
+    /** Forgets the choices, for instance because the group was formed anew. */
+    public void reset() {
+        estimate = null;
+    }
+
+    /** Takes how often each expert was chosen since the last call, set after set, over all ranks. */
+    public void onChoices(long[] choices) {
+        double[][] bySet = new double[sets][experts];
+        double total = 0;
+        for (int set = 0; set < sets; set++) {
+            for (int expert = 0; expert < experts; expert++) {
+                bySet[set][expert] = choices[set * experts + expert];
+                total += bySet[set][expert];
+            }
+        }
+        if (total < MIN_CHOICES_PER_EXPERT * sets * experts) {
+            return;
+        }
+        double scale = sets * experts / total;
+        for (double[] set : bySet) {
+            for (int expert = 0; expert < experts; expert++) {
+                set[expert] *= scale;
+            }
+        }
+        estimate = estimate == null ? LoadEstimate.of(bySet) : estimate.updated(bySet, NEWEST_WEIGHT);
+    }
+
+    /** Returns a better placement by set, rank and place, or null where the present one is good enough. */
+    public int @Nullable [][][] plan(int[][][] present) {
+        LoadEstimate load = estimate;
+        if (load == null) {
+            return null;
+        }
+        ExpertMap map = ExpertMap.of(experts, padded(present));
+        int ranks = map.ranks();
+        PlanLimits limits = new PlanLimits(MAX_MOVES, spare * ranks, spare, 1);
+        PlanningInput input = new PlanningInput(
+                map,
+                load,
+                Collections.nCopies(ranks, RankCondition.serving(places)),
+                SKEW_ONLY,
+                RELATIVE_COSTS,
+                limits);
+        ExpertMap planned = planner.plan(input).map();
+        int[][][] placement = new int[sets][][];
+        for (int set = 0; set < sets; set++) {
+            placement[set] = withoutGaps(planned.layer(set));
+        }
+        double before = slowestShares(present, load);
+        double after = slowestShares(placement, load);
+        return after < before * (1 - LEAST_RELIEF) ? placement : null;
+    }
+
+    /** Returns how far the most loaded rank of a set is above the mean, over all sets; 1 is even. */
+    public double imbalance(int[][][] placement) {
+        LoadEstimate load = estimate;
+        return load == null ? 1 : slowestShares(placement, load) * placement[0].length / total(load);
+    }
+
+    private double total(LoadEstimate load) {
+        double total = 0;
+        for (int set = 0; set < sets; set++) {
+            for (double tokens : load.layer(set)) {
+                total += tokens;
+            }
+        }
+        return Math.max(total, Double.MIN_NORMAL);
+    }
+
+    private double slowestShares(int[][][] placement, LoadEstimate load) {
+        double sum = 0;
+        for (int set = 0; set < sets; set++) {
+            double[] tokens = load.layer(set);
+            int[] copies = new int[experts];
+            for (int[] rank : placement[set]) {
+                for (int expert : rank) {
+                    copies[expert]++;
+                }
+            }
+            double slowest = 0;
+            for (int[] rank : placement[set]) {
+                double share = 0;
+                for (int expert : rank) {
+                    share += tokens[expert] / copies[expert];
+                }
+                slowest = Math.max(slowest, share);
+            }
+            sum += slowest;
+        }
+        return sum;
+    }
+
+    private int[][][] padded(int[][][] placement) {
+        int[][][] padded = new int[placement.length][][];
+        for (int set = 0; set < placement.length; set++) {
+            padded[set] = new int[placement[set].length][places];
+            for (int rank = 0; rank < placement[set].length; rank++) {
+                for (int place = 0; place < places; place++) {
+                    int[] held = placement[set][rank];
+                    padded[set][rank][place] = place < held.length ? held[place] : ExpertMap.EMPTY;
+                }
+            }
+        }
+        return padded;
+    }
+
+    private static int[][] withoutGaps(int[][] ranks) {
+        int[][] dense = new int[ranks.length][];
+        for (int rank = 0; rank < ranks.length; rank++) {
+            dense[rank] = java.util.Arrays.stream(ranks[rank])
+                    .filter(expert -> expert != ExpertMap.EMPTY)
+                    .toArray();
+        }
+        return dense;
+    }
+}
--- /dev/null
+++ b/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
@@ -0,0 +1,112 @@
+package firwheel.rebalance;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.mesh.SealedHttp;
+import firwheel.model.TimeSource;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The process beside one rank: reads its engine, where that is cheap, and gives it the orders of the controller with the
+ * latest term. All methods run on one event loop.
+ */
+public final class RankAgent {
+    private final Engine engine;
+    private final EngineAddress address;
+    private final TimeSource time;
+    private final ObjectMapper mapper = new ObjectMapper();
+    private long term;
+    private long heardNanos;
+
+    /** Creates an agent for the engine at {@code address}. */
+    public RankAgent(Engine engine, EngineAddress address, TimeSource time) {
+        this.engine = engine;
+        this.address = address;
+        this.time = time;
+        heardNanos = time.monotonicNanos();
+    }
+
+    /** Serves the controller. */
+    public void serve(SealedHttp http) {
+        http.serve(RankCall.READ_PATH, content -> reply(read(parse(content, RankCall.Read.class))));
+        http.serve(RankCall.ORDER_PATH, content -> reply(order(parse(content, RankCall.Order.class))));
+    }
+
+    /** Returns the latest term that this agent knows. */
+    long term() {
+        return term;
+    }
+
+    /** Takes a term that a controller has won. */
+    void learnTerm(long known) {
+        term = Math.max(term, known);
+    }
+
+    /** Returns how long ago the controller was heard. */
+    Duration silence() {
+        return Duration.ofNanos(time.monotonicNanos() - heardNanos);
+    }
+
+    /** Starts to wait anew, for instance after a lost election. */
+    void resetSilence() {
+        heardNanos = time.monotonicNanos();
+    }
+
+    CompletableFuture<RankCall.Reading> read(RankCall.Read call) {
+        if (!accepts(call.term())) {
+            return CompletableFuture.completedFuture(new RankCall.Reading(term, address, null, null, null));
+        }
+        CompletableFuture<long @Nullable []> counts =
+                call.counts() ? nullable(engine.counts()) : CompletableFuture.completedFuture(null);
+        CompletableFuture<int @Nullable [][]> placed =
+                call.placed() ? nullable(engine.placedExperts()) : CompletableFuture.completedFuture(null);
+        return counts.thenCombine(placed, (chosen, held) -> new RankCall.Reading(term, address, null, chosen, held))
+                .thenCombine(
+                        engine.state(),
+                        (reading, state) ->
+                                new RankCall.Reading(term, address, state, reading.counts(), reading.placed()));
+    }
+
+    CompletableFuture<RankCall.OrderReply> order(RankCall.Order call) {
+        if (!accepts(call.term())) {
+            return CompletableFuture.completedFuture(new RankCall.OrderReply(term, false));
+        }
+        return engine.give(call.order()).thenApply(taken -> new RankCall.OrderReply(term, taken));
+    }
+
+    private boolean accepts(long offered) {
+        if (offered < term) {
+            return false;
+        }
+        term = offered;
+        heardNanos = time.monotonicNanos();
+        return true;
+    }
+
+    @SuppressWarnings("NullAway") // widens the type to one that may also be null
+    private static <T> CompletableFuture<@Nullable T> nullable(CompletableFuture<T> future) {
+        return future.thenApply(value -> value);
+    }
+
+    private <T> T parse(byte[] content, Class<T> type) {
+        try {
+            return mapper.readValue(content, type);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private CompletableFuture<byte[]> reply(CompletableFuture<?> value) {
+        return value.thenApply(result -> {
+            try {
+                return mapper.writeValueAsBytes(result);
+            } catch (JsonProcessingException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/rebalance/src/main/java/firwheel/rebalance/RankCall.java
@@ -0,0 +1,49 @@
+package firwheel.rebalance;
+
+import firwheel.experts.rollout.RankOrder;
+import org.jspecify.annotations.Nullable;
+
+/** What a controller asks of the agent beside a rank, and the replies. Sent as JSON. */
+final class RankCall {
+    static final String READ_PATH = "/rank";
+    static final String ORDER_PATH = "/order";
+
+    private RankCall() {}
+
+    /**
+     * Asks for the state of the rank.
+     *
+     * @param term term of the controller; an agent that knows a later one refuses
+     * @param counts whether to read how often each expert was chosen
+     * @param placed whether to read which experts the rank holds
+     */
+    record Read(long term, boolean counts, boolean placed) {}
+
+    /**
+     * State of the rank.
+     *
+     * @param term latest term that the agent knows
+     * @param engine where the engine listens
+     * @param state its report; null where the agent refuses for the term
+     * @param counts choices of each expert, set after set; null unless asked for
+     * @param placed experts of the rank by set; null unless asked for
+     */
+    @SuppressWarnings("ArrayRecordComponent")
+    record Reading(
+            long term,
+            EngineAddress engine,
+            @Nullable EngineState state,
+            long @Nullable [] counts,
+            int @Nullable [][] placed) {}
+
+    /** Asks for an order to be given. */
+    record Order(long term, RankOrder order) {}
+
+    /**
+     * What became of an order.
+     *
+     * @param term latest term that the agent knows
+     * @param taken whether the engine took the order
+     */
+    record OrderReply(long term, boolean taken) {}
+}
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -28,12 +28,13 @@
     /**
      * Load of a target, read on its own host.
      *
-     * @param instanceId name of the target
+     * @param ip IP number of the target
+     * @param port port of the target
      * @param startedMillis Unix time of its start
      * @param running requests that it computes
      * @param waiting requests that wait in its queue
      * @param memoryTokens tokens in its memory that cannot be evicted
      */
-    record TargetLoad(String instanceId, long startedMillis, int running, int waiting, long memoryTokens)
+    record TargetLoad(String ip, int port, long startedMillis, int running, int waiting, long memoryTokens)
             implements MeshMessage {}
 }
