Void late arming by versions, not by the count of orders

Change: the holder is armed last as the decision; calling off prepares a newer version, after which an engine arms the older one no more; versions rise with the term of the controller. Ruled out: waiting the late orders out (12 s).

--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -13,9 +13,9 @@
  * armed, so that of the two decisions only one can be carried out, whatever orders are late and whoever gives them.
  *
  * <p>Each call of {@link #next} takes reports that were read after the replies to the earlier orders, or after waiting
- * for them in vain, and returns the orders to give now. Orders may be lost, repeated and carried out late. An order that
- * may be pending is made void by preparing a newer version, since each order names the number of orders that the engine
- * must have begun, and only a preparation counts as one.
+ * for them in vain, and returns the orders to give now. Orders may be lost, repeated and carried out late. An order to
+ * arm a rank that may be pending is made void by preparing a newer version there: engines arm only the version that they
+ * prepared last, and take each version once.
  */
 public final class MapRollout {
     /** Where the rollout stands. */
@@ -43,15 +43,16 @@
     public record Limits(long lead, Duration prepareLimit, Duration holdLimit, Duration armLimit) {}
 
     private static final int[][][] NO_PLACEMENT = {};
+    private static final long REPEAT_AFTER_MILLIS = 300; // above the time in which an engine reports what it loaded
 
     private final Limits limits;
     private final int[][][] placement;
     private final int[][][] present;
     private final long epoch;
     private final int holder;
-    private final long[] pendingSince;
+    private final long[] givenMillis;
     private final long version;
-    private long voidVersion;
+    private final long voidVersion;
     private long step = RankView.NONE;
     private Phase phase;
     private long phaseStartMillis;
@@ -73,8 +74,8 @@
         this.phase = phase;
         voidVersion = version + 1;
         epoch = views.get(0).epoch();
-        pendingSince = new long[views.size()];
-        Arrays.fill(pendingSince, RankView.NONE);
+        givenMillis = new long[views.size()];
+        Arrays.fill(givenMillis, RankView.NONE);
         phaseStartMillis = nowMillis;
     }
 
@@ -82,8 +83,8 @@
      * Starts to put a map into force.
      *
      * @param views reports of all ranks, by rank
-     * @param version number of the map, above all that any rank has had
-     * @param holder rank on which a pass is held back
+     * @param version number of the map, above all that any controller has used; the next number is used to call off
+     * @param holder rank on which a pass is held back, the same for all controllers
      * @param placement the map: experts by set, rank and place
      * @param present the map in use
      */
@@ -100,14 +101,12 @@
 
     /**
      * Calls off what another controller may have left open, and makes void what may still be on its way to the ranks.
+     *
+     * @param version number above all that earlier controllers have used
      */
-    public static MapRollout takeOver(Limits limits, List<RankView> views, int[][][] present, long nowMillis) {
-        MapRollout rollout =
-                new MapRollout(limits, present, present, views, newestVersion(views), 0, Phase.CALLING_OFF, nowMillis);
-        for (RankView view : views) {
-            rollout.pendingSince[view.rank()] = view.orders();
-        }
-        return rollout;
+    public static MapRollout takeOver(
+            Limits limits, List<RankView> views, long version, int[][][] present, long nowMillis) {
+        return new MapRollout(limits, present, present, views, version, views.size() - 1, Phase.CALLING_OFF, nowMillis);
     }
 
     /** Returns where the rollout stands. */
@@ -134,11 +133,6 @@
         return version;
     }
 
-    /** Returns the newest version that any order of this rollout named. */
-    public long newestVersion() {
-        return Math.max(version, voidVersion);
-    }
-
     /** Takes reports of all ranks, by rank, and returns the orders to give now; a new formation ends the rollout. */
     public List<RankOrder> next(List<RankView> views, long nowMillis) {
         if (finished()) {
@@ -165,14 +159,18 @@
         List<RankOrder> orders = new ArrayList<>();
         boolean loaded = true;
         for (RankView view : views) {
+            if (view.isHolding()) {
+                orders.add(release(view));
+            }
             loaded &= view.preparedVersion() == version;
-            if (view.preparedVersion() != version && !isLoading(view)) {
-                pendingSince[view.rank()] = view.orders();
+            boolean due = givenMillis[view.rank()] == RankView.NONE
+                    || nowMillis - givenMillis[view.rank()] > REPEAT_AFTER_MILLIS;
+            if (view.preparedVersion() != version && due) {
+                givenMillis[view.rank()] = nowMillis;
                 orders.add(order(view, Action.PREPARE, version, RankView.NONE, placement));
             }
         }
-        if (loaded) {
-            Arrays.fill(pendingSince, RankView.NONE);
+        if (loaded && orders.isEmpty()) {
             enter(Phase.HOLDING, nowMillis);
             return hold(views, nowMillis);
         }
@@ -182,12 +180,6 @@
         return orders;
     }
 
-    /** An engine that has begun the order loads for a while before it reports the version as prepared. */
-    private boolean isLoading(RankView view) {
-        long given = pendingSince[view.rank()];
-        return given != RankView.NONE && view.orders() > given;
-    }
-
     private List<RankOrder> hold(List<RankView> views, long nowMillis) {
         RankView holding = views.get(holder);
         if (step != RankView.NONE && holding.heldStep() == step) {
@@ -201,7 +193,6 @@
         if (step == RankView.NONE || begun >= step) {
             step = begun + limits.lead();
         }
-        pendingSince[holder] = holding.orders();
         return List.of(order(holding, Action.HOLD, RankView.NONE, step, NO_PLACEMENT));
     }
 
@@ -212,7 +203,6 @@
         List<RankOrder> orders = new ArrayList<>();
         for (RankView view : views) {
             if (view.rank() != holder && !isArmedForThis(view)) {
-                pendingSince[view.rank()] = view.orders();
                 orders.add(order(view, Action.ARM, version, step, NO_PLACEMENT));
             }
         }
@@ -232,7 +222,6 @@
         if (holding.heldStep() != step || elapsed(limits.armLimit(), nowMillis)) {
             return startCallingOff(views, nowMillis);
         }
-        pendingSince[holder] = holding.orders();
         return List.of(order(holding, Action.ARM, version, step, NO_PLACEMENT));
     }
 
@@ -246,11 +235,8 @@
             enter(Phase.DONE, nowMillis);
             return List.of();
         }
-        if (holding.heldStep() != step) {
-            // Until the pass begins, a copy of the hold that is late could still hold it back.
-            return List.of();
-        }
-        return List.of(release(holding));
+        // Until the pass begins, a copy of the hold that is late could still hold it back.
+        return holding.isHolding() ? List.of(release(holding)) : List.of();
     }
 
     /** What was given up to now may still be carried out, so each rank must begin one more order first. */
@@ -270,15 +256,15 @@
         if (holding.isArmed()) {
             return List.of(release(holding));
         }
-        if (mayBePending(holding)) {
-            return List.of(voidPending(holding, views));
+        if (mayBeArmed(holding)) {
+            return List.of(voidArming(holding));
         }
         List<RankOrder> orders = new ArrayList<>();
         for (RankView view : views) {
             if (view.isArmed()) {
                 orders.add(disarm(view));
-            } else if (mayBePending(view)) {
-                orders.add(voidPending(view, views));
+            } else if (mayBeArmed(view)) {
+                orders.add(voidArming(view));
             }
         }
         return orders.isEmpty() ? List.of(release(holding)) : orders;
@@ -291,8 +277,8 @@
             if (view.isArmed()) {
                 return List.of();
             }
-            if (mayBePending(view)) {
-                orders.add(voidPending(view, views));
+            if (mayBeArmed(view)) {
+                orders.add(voidArming(view));
             }
         }
         if (orders.isEmpty()) {
@@ -309,18 +295,16 @@
         return order(holding, Action.RELEASE, RankView.NONE, holding.heldStep(), NO_PLACEMENT);
     }
 
-    private RankOrder voidPending(RankView view, List<RankView> views) {
-        voidVersion = Math.max(voidVersion, newestVersion(views)) + 1;
+    private RankOrder voidArming(RankView view) {
         return order(view, Action.PREPARE, voidVersion, RankView.NONE, present);
     }
 
-    private boolean mayBePending(RankView view) {
-        long given = pendingSince[view.rank()];
-        return given != RankView.NONE && view.orders() <= given;
+    private boolean mayBeArmed(RankView view) {
+        return view.preparedVersion() < voidVersion;
     }
 
     private RankOrder order(RankView view, Action action, long concerns, long atStep, int[][][] placed) {
-        return new RankOrder(view.rank(), action, concerns, atStep, epoch, view.orders(), placed);
+        return new RankOrder(view.rank(), action, concerns, atStep, epoch, placed);
     }
 
     private void enter(Phase next, long nowMillis) {
@@ -332,19 +316,8 @@
         return nowMillis - phaseStartMillis > limit.toMillis();
     }
 
-    /** Returns the newest version that any rank reports. */
-    public static long newestVersion(List<RankView> views) {
-        long newest = 0;
-        for (RankView view : views) {
-            newest = Math.max(newest, Math.max(view.mapVersion(), view.preparedVersion()));
-            newest = Math.max(newest, view.armedVersion());
-        }
-        return newest;
-    }
-
     @Override
     public String toString() {
-        return phase + " of version " + version + " at pass " + step + ", pending since "
-                + Arrays.toString(pendingSince);
+        return phase + " of version " + version + " at pass " + step;
     }
 }
--- a/experts/src/main/java/firwheel/experts/rollout/RankOrder.java
+++ b/experts/src/main/java/firwheel/experts/rollout/RankOrder.java
@@ -8,13 +8,10 @@
  * @param version map version that it concerns, or {@link RankView#NONE}
  * @param step pass that it concerns, or {@link RankView#NONE}
  * @param epoch formation of the group in which it is valid
- * @param expectedOrders number of orders that the engine must have begun, or {@link RankView#NONE} for any; a late copy
- *     of the order no longer matches once another has begun
  * @param placement experts by set, rank and place, for {@link Action#PREPARE}; empty otherwise
  */
 @SuppressWarnings("ArrayRecordComponent") // never changed after the plan was made
-public record RankOrder(
-        int rank, Action action, long version, long step, long epoch, long expectedOrders, int[][][] placement) {
+public record RankOrder(int rank, Action action, long version, long step, long epoch, int[][][] placement) {
     /** What an engine can be told. */
     public enum Action {
         /** Load the experts that the version places on the rank. */
--- a/experts/src/main/java/firwheel/experts/rollout/RankView.java
+++ b/experts/src/main/java/firwheel/experts/rollout/RankView.java
@@ -12,7 +12,6 @@
  * @param armedVersion version that the rank will switch to, or {@link #NONE}
  * @param armedStep pass at which it will switch
  * @param heldStep pass that the group does not begin until released, or {@link #NONE}
- * @param orders number of orders that the engine has begun
  */
 public record RankView(
         int rank,
@@ -23,8 +22,7 @@
         long preparedVersion,
         long armedVersion,
         long armedStep,
-        long heldStep,
-        long orders) {
+        long heldStep) {
     /** Stands for no version and no step. */
     public static final long NONE = -1;
 
--- a/mesh/src/main/java/firwheel/mesh/Membership.java
+++ b/mesh/src/main/java/firwheel/mesh/Membership.java
@@ -16,7 +16,7 @@
  * or through others. No I/O; not thread-safe.
  */
 public final class Membership {
-    private static final Duration ALIVE_FOR = Duration.ofSeconds(4); // eight beats; gossip takes about four to spread
+    private static final Duration ALIVE_FOR = Duration.ofSeconds(8); // eight beats; gossip takes about five to spread
     private static final Duration KNOWN_FOR = Duration.ofSeconds(60); // a host that was cut off is greeted again
 
     private final TimeSource time;
--- a/mesh/src/main/java/firwheel/mesh/Mesh.java
+++ b/mesh/src/main/java/firwheel/mesh/Mesh.java
@@ -30,8 +30,9 @@
  * their number. All methods run on one event loop.
  */
 public final class Mesh {
-    private static final Duration BEAT_INTERVAL = Duration.ofMillis(500); // a change spreads to all in some four beats
-    private static final int BEAT_FANOUT = 3; // the change reaches all of 400 processes in six beats
+    private static final Duration BEAT_INTERVAL =
+            Duration.ofSeconds(1); // a change is told at once; beats only repair losses
+    private static final int BEAT_FANOUT = 2; // beats reach 400 processes in some nine rounds
     private static final int SAMPLED_MEMBERS = 24; // keeps a beat within one packet
     private static final int CODE_BYTES = 16; // half of the hash, as is usual for short messages
     private static final Logger logger = LoggerFactory.getLogger(Mesh.class);
--- a/mesh/src/main/java/firwheel/mesh/SealedHttp.java
+++ b/mesh/src/main/java/firwheel/mesh/SealedHttp.java
@@ -28,8 +28,8 @@
 
 /**
  * Calls between processes of one deployment whose content does not fit into a datagram. Request and reply carry a code
- * over path and content made with the shared key. Every call uses a connection of its own, since a kept one may have
- * fallen silent.
+ * over path and content made with the shared key. A call that gets no reply closes its connection, which may have fallen
+ * silent.
  */
 public final class SealedHttp {
     private static final String CODE_HEADER = "X-Code";
@@ -51,8 +51,7 @@
         this.vertx = vertx;
         this.key = key;
         this.port = port;
-        client = vertx.createHttpClient(
-                new HttpClientOptions().setKeepAlive(false).setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
+        client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
     }
 
     /** Sets what answers calls of {@code path}. */
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -36,11 +37,16 @@
      * @param agentIps returns the hosts of all living agents but this one
      * @param engineAt returns the engine at an address, for ranks whose agent does not answer
      * @param policies returns the policy for a group, once its figures are known
+     * @param loads takes the states of all ranks after each reading
      */
     public record Environment(
             Supplier<List<String>> agentIps,
             Function<EngineAddress, Engine> engineAt,
-            Supplier<@Nullable MapPolicy> policies) {}
+            Supplier<@Nullable MapPolicy> policies,
+            Consumer<List<RankLoad>> loads) {}
+
+    /** State of a rank's engine. */
+    public record RankLoad(EngineAddress engine, EngineState state) {}
 
     private static final Duration READ_INTERVAL =
             Duration.ofMillis(500); // half of what a shift of demand needs to show
@@ -49,6 +55,7 @@
     private static final Duration ELECTION_SILENCE = Duration.ofMillis(1_100); // two readings missed
     private static final Duration ELECTION_STAGGER = Duration.ofMillis(120); // the first candidate wins before the next
     private static final Duration FIRST_ELECTION = Duration.ofSeconds(3); // agents find each other first
+    private static final long VERSIONS_PER_TERM = 1_000_000; // two a second last for days
     private static final int MAX_FAILED_READINGS = 8; // about as long as a group may wait for a held pass
     private static final MapRollout.Limits LIMITS = new MapRollout.Limits(
             3, Duration.ofSeconds(4), Duration.ofMillis(600), Duration.ofMillis(400)); // a group waits below a second
@@ -61,18 +68,21 @@
     private final SealedHttp http;
     private final ControllerElection election;
     private final Environment environment;
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final ObjectMapper mapper = RankCall.mapper();
     private final Map<Integer, Rank> ranks = new TreeMap<>();
     private String group = "";
     private long term;
     private long epoch = -1;
     private boolean cleared;
-    private long newestVersion;
+    private long usedVersions;
     private long @Nullable [] lastCounts;
     private @Nullable MapRollout rollout;
     private int[][][] present = {};
     private int failedReadings;
-    private long startedNanos;
+    private final long startedNanos;
+    private Duration patience = ELECTION_SILENCE;
+    private boolean placementKnown;
+    private long presentVersion = RankView.NONE;
 
     /** A rank of the group and how to reach it. */
     private record Rank(String agentIp, EngineAddress engine) {}
@@ -128,12 +138,18 @@
             rollout = null;
             agent.resetSilence();
         }
+        if (time.monotonicNanos() - startedNanos < FIRST_ELECTION.toNanos()) {
+            agent.resetSilence();
+        }
+        if (agent.silence().compareTo(patience) < 0) {
+            return CompletableFuture.completedFuture(null);
+        }
         return engine.state().thenCompose(state -> {
             group = state.group();
-            Duration patience = ELECTION_SILENCE.plus(
+            Duration wanted = ELECTION_SILENCE.plus(
                     ELECTION_STAGGER.multipliedBy(state.view().rank()));
-            boolean early = time.monotonicNanos() - startedNanos < FIRST_ELECTION.toNanos();
-            if (group.isEmpty() || early || agent.silence().compareTo(patience) < 0) {
+            if (group.isEmpty() || !wanted.equals(patience)) {
+                patience = wanted;
                 return CompletableFuture.<Void>completedFuture(null);
             }
             return stand();
@@ -148,6 +164,7 @@
                 agent.learnTerm(won);
                 cleared = false;
                 epoch = -1;
+                usedVersions = 0;
                 Events.log(logger, EventCode.LEASE_ACQUIRED, "group", group, "term", won);
             }
         });
@@ -161,7 +178,7 @@
     /** Reads all ranks and starts a rollout where one is due. */
     private CompletableFuture<Void> observe() {
         List<CompletableFuture<Answer>> calls = new ArrayList<>();
-        RankCall.Read read = new RankCall.Read(term, true, true);
+        RankCall.Read read = new RankCall.Read(term, true, !placementKnown);
         for (String ip : environment.agentIps().get()) {
             calls.add(readAgent(ip, read));
         }
@@ -183,19 +200,32 @@
                 size = reading.state().groupSize();
             }
         }
+        reportLoads(readings);
         List<RankView> views = views(readings, size);
-        if (views.isEmpty() || !readable(readings, size)) {
+        if (views.isEmpty() || !sameFormation(views)) {
             return;
         }
-        present = placement(readings, size);
-        newestVersion = Math.max(newestVersion, MapRollout.newestVersion(views));
+        long known = presentVersion;
+        presentVersion = views.get(0).mapVersion();
+        if (views.get(0).epoch() != epoch || presentVersion != known) {
+            placementKnown = false;
+        }
+        int[][][] placed = placement(readings, size);
+        if (placed.length > 0) {
+            present = placed;
+            placementKnown = true;
+        }
         if (views.get(0).epoch() != epoch) {
             epoch = views.get(0).epoch();
             lastCounts = null;
             cleared = false;
         }
-        if (!cleared) {
-            rollout = MapRollout.takeOver(LIMITS, views, present, time.monotonicMillis());
+        if (!placementKnown) {
+            return;
+        }
+        if (!cleared || views.stream().anyMatch(RankView::isHolding)) {
+            cleared = false;
+            rollout = MapRollout.takeOver(LIMITS, views, nextVersion(), present, time.monotonicMillis());
             return;
         }
         considerMap(readings, views);
@@ -220,23 +250,29 @@
         policy.onChoices(choices);
         int[][][] planned = policy.plan(present);
         if (planned != null) {
-            newestVersion++;
+            long version = nextVersion();
             Events.log(
                     logger,
                     EventCode.MAP_PLANNED,
                     "group",
                     group,
                     "version",
-                    newestVersion,
+                    version,
                     "imbalance",
                     policy.imbalance(present),
                     "planned",
                     policy.imbalance(planned));
             rollout = MapRollout.begin(
-                    LIMITS, views, newestVersion, views.size() - 1, planned, present, time.monotonicMillis());
+                    LIMITS, views, version, views.size() - 1, planned, present, time.monotonicMillis());
         }
     }
 
+    /** Versions of a later term are above all of an earlier one; a rollout uses two. */
+    private long nextVersion() {
+        usedVersions += 2;
+        return term * VERSIONS_PER_TERM + usedVersions;
+    }
+
     /** Reads all ranks and gives the orders that the rollout asks for. */
     private CompletableFuture<Void> drive(MapRollout open) {
         List<CompletableFuture<Answer>> calls = new ArrayList<>();
@@ -284,7 +320,6 @@
                         open);
             }
             cleared = true;
-            newestVersion = Math.max(newestVersion, open.newestVersion());
             rollout = null;
             return CompletableFuture.completedFuture(null);
         }
@@ -345,7 +380,13 @@
                     agent.learnTerm(reading.term());
                     return new Answer(ip, reading);
                 })
-                .exceptionally(error -> new Answer(ip, null));
+                .exceptionally(error -> {
+                    logger.atInfo()
+                            .addKeyValue("agent", ip)
+                            .addKeyValue("reason", String.valueOf(error.getMessage()))
+                            .log("the agent of a rank cannot be read");
+                    return new Answer(ip, null);
+                });
     }
 
     private static CompletableFuture<Answer> orAbsent(CompletableFuture<Answer> answer) {
@@ -381,32 +422,33 @@
         return views;
     }
 
-    /** Returns whether all ranks are open in one formation and told their experts. */
-    private static boolean readable(Map<Integer, RankCall.Reading> readings, int size) {
-        for (int rank = 0; rank < size; rank++) {
-            RankCall.Reading reading = readings.get(rank);
-            RankCall.Reading first = readings.get(0);
-            if (reading == null || first == null || reading.state() == null || first.state() == null) {
-                return false;
-            }
-            boolean same =
-                    reading.state().view().epoch() == first.state().view().epoch()
-                            && reading.state().view().mapVersion()
-                                    == first.state().view().mapVersion();
-            if (!same || !reading.state().view().open() || reading.placed() == null || reading.counts() == null) {
-                return false;
+    /** Returns whether all ranks are open in one formation with one map. */
+    private static boolean sameFormation(List<RankView> views) {
+        RankView first = views.get(0);
+        return views.stream()
+                .allMatch(view ->
+                        view.open() && view.epoch() == first.epoch() && view.mapVersion() == first.mapVersion());
+    }
+
+    private void reportLoads(Map<Integer, RankCall.Reading> readings) {
+        List<RankLoad> loads = new ArrayList<>();
+        readings.values().forEach(reading -> {
+            EngineState state = reading.state();
+            if (state != null) {
+                loads.add(new RankLoad(reading.engine(), state));
             }
-        }
-        return true;
+        });
+        environment.loads().accept(loads);
     }
 
+    /** Returns the experts by set and rank, or nothing where a rank did not tell its own. */
     private static int[][][] placement(Map<Integer, RankCall.Reading> readings, int size) {
         int[][][] placement = new int[0][][];
         for (int rank = 0; rank < size; rank++) {
             RankCall.Reading reading = readings.get(rank);
             int[][] placed = reading == null ? null : reading.placed();
             if (placed == null) {
-                continue;
+                return new int[0][][];
             }
             if (placement.length == 0) {
                 placement = new int[placed.length][size][];
--- a/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
@@ -18,7 +18,7 @@
     private final Engine engine;
     private final EngineAddress address;
     private final TimeSource time;
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final ObjectMapper mapper = RankCall.mapper();
     private long term;
     private long heardNanos;
 
--- a/rebalance/src/main/java/firwheel/rebalance/RankCall.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankCall.java
@@ -1,5 +1,9 @@
 package firwheel.rebalance;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import firwheel.experts.rollout.RankOrder;
 import org.jspecify.annotations.Nullable;
 
@@ -10,6 +14,14 @@
 
     private RankCall() {}
 
+    /** Returns a mapper for these records: fields only, and none that a newer sender adds is an error. */
+    static ObjectMapper mapper() {
+        return JsonMapper.builder()
+                .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
+                .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .build();
+    }
+
     /**
      * Asks for the state of the rank.
      *
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -26,15 +26,15 @@
     record Beat(Member self, long configRevision, long registryRevision, List<Member> others) implements MeshMessage {}
 
     /**
-     * Load of a target, read on its own host.
+     * Load of a target.
      *
      * @param ip IP number of the target
      * @param port port of the target
      * @param startedMillis Unix time of its start
-     * @param running requests that it computes
-     * @param waiting requests that wait in its queue
-     * @param memoryTokens tokens in its memory that cannot be evicted
+     * @param busy requests that it computes or queues
      */
-    record TargetLoad(String ip, int port, long startedMillis, int running, int waiting, long memoryTokens)
-            implements MeshMessage {}
+    record TargetLoad(String ip, int port, long startedMillis, int busy) {}
+
+    /** Loads of the targets of one group, read on their own hosts at about the same time. */
+    record GroupLoad(List<TargetLoad> targets) implements MeshMessage {}
 }
--- a/wire/src/main/java/firwheel/wire/MessageType.java
+++ b/wire/src/main/java/firwheel/wire/MessageType.java
@@ -26,7 +26,7 @@
     CLOCK(32, LoadMessage.Clock.class),
     TABLE(40, TableFrame.class),
     BEAT(50, MeshMessage.Beat.class),
-    TARGET_LOAD(51, MeshMessage.TargetLoad.class);
+    GROUP_LOAD(51, MeshMessage.GroupLoad.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
