--- a/cli/src/main/java/firwheel/cli/Commands.java
+++ b/cli/src/main/java/firwheel/cli/Commands.java
@@ -21,6 +21,10 @@
             new Entry("platform-entry", "Runs an entry on the users' platform.", PlatformEntryCommand::new),
             new Entry(
                     "platform-agent", "Runs an agent beside a rank on the users' platform.", PlatformAgentCommand::new),
+            new Entry(
+                    "warm-up",
+                    "Loads the classes of the platform's processes, for a class-data archive.",
+                    WarmUpCommand::new),
             new Entry("table export", "Prints the table as CSV.", TableExportCommand::new),
             new Entry("table check", "Checks a table file.", TableCheckCommand::new),
             new Entry("table diff", "Shows what a table file would change.", TableDiffCommand::new),
--- a/proxy/src/main/java/firwheel/proxy/balance/Placement.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/Placement.java
@@ -4,7 +4,9 @@
 import firwheel.proxy.target.Target;
 import firwheel.proxy.target.TargetDirectory;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,21 +15,26 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Chooses the target of a request: the one with the least expected work per slot, weighed by its recent failures and
- * latency. Targets that are nearly as good share the requests at random, since all entries see the same reports and
- * would otherwise send to one target at the same moment.
+ * Chooses the target of a request. Where targets' loads are reported to all entries alike, every entry would choose the
+ * same least loaded one until the next report; so the requests that all entries together send meanwhile are spread over
+ * the free capacity: a target is drawn by how far its load is below the level to which those requests fill all targets.
+ * Recent failures and slow answers count as load.
  */
 public final class Placement {
-    private static final Duration MAX_REPORT_AGE = Duration.ofMillis(1_500); // five reports of an agent missed
-    private static final double SPREAD_REQUESTS = 0.75; // targets within it of the best are drawn at random
-    private static final double OTHER_ZONE_REQUESTS = 0.4; // below one request: balance goes before distance
+    private static final Duration MAX_REPORT_AGE = Duration.ofMillis(1_500); // six reports missed
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(300); // what passes between two reports
+    private static final double OTHER_ZONE_REQUESTS = 0.3; // below one request: balance goes before distance
     private static final double FAILURE_REQUESTS = 12; // a target that fails half its requests is used last
+    private static final double FULL_REQUESTS = 6; // a target with all slots taken makes a request wait for one
+    private static final Duration RATE_WINDOW = Duration.ofSeconds(4); // long enough for some requests of one entry
 
     private final TargetDirectory directory;
     private final String ownZone;
     private final TimeSource time;
     private final DoubleSupplier random;
     private final Map<Target.Key, TargetLoad> loads = new HashMap<>();
+    private final Map<String, ArrayDeque<Long>> recentChoices = new HashMap<>();
+    private int entries = 1;
 
     /** Creates a placement; {@code random} draws uniformly between 0 and 1. */
     public Placement(TargetDirectory directory, String ownZone, TimeSource time, DoubleSupplier random) {
@@ -37,6 +44,11 @@
         this.random = random;
     }
 
+    /** Sets how many entries send to the same targets. */
+    public void setEntries(int entries) {
+        this.entries = Math.max(1, entries);
+    }
+
     /** Returns what is known of a target. */
     public TargetLoad load(Target target) {
         return loads.computeIfAbsent(target.key(), key -> new TargetLoad());
@@ -44,18 +56,34 @@
 
     /** Forgets the loads of targets that are gone. */
     public void forgetDeparted() {
-        loads.keySet().removeIf(key -> {
-            Target known = directory.find(key.instanceId());
-            return (known == null || !known.key().equals(key)) && loadIdle(key);
+        loads.entrySet().removeIf(entry -> {
+            Target known = directory.find(entry.getKey().instanceId());
+            boolean departed = known == null || !known.key().equals(entry.getKey());
+            return departed && entry.getValue().inFlight() == 0;
         });
     }
 
+    /** Returns whether a request of {@code service} could go to a target that is not in {@code tried}. */
+    public boolean canChoose(String service, Set<Target.Key> tried) {
+        return !usable(service, tried, time.monotonicNanos()).isEmpty();
+    }
+
     /**
      * Chooses a target for a request of {@code service} that is not in {@code tried}, or returns null where none may get
      * work.
      */
     public @Nullable Target choose(String service, Set<Target.Key> tried) {
         long now = time.monotonicNanos();
+        List<Target> usable = usable(service, tried, now);
+        if (usable.isEmpty()) {
+            return null;
+        }
+        double[] levels = levels(usable, now);
+        double expected = 1 + expectedOfOthers(service, now);
+        return usable.get(draw(levels, waterLevel(levels, expected)));
+    }
+
+    private List<Target> usable(String service, Set<Target.Key> tried, long now) {
         List<Target> usable = new ArrayList<>();
         for (Target target : directory.serving(service)) {
             boolean open = target.group() == null || target.group().open();
@@ -63,41 +91,74 @@
                 usable.add(target);
             }
         }
-        return usable.isEmpty() ? null : leastLoaded(usable, now);
+        return usable;
     }
 
-    private Target leastLoaded(List<Target> targets, long now) {
+    private double[] levels(List<Target> targets, long now) {
         double meanLatency = targets.stream()
                 .mapToDouble(target -> load(target).latencyMillis())
                 .filter(millis -> millis > 0)
                 .average()
                 .orElse(1);
-        double[] scores = new double[targets.size()];
-        double best = Double.MAX_VALUE;
-        for (int i = 0; i < scores.length; i++) {
-            scores[i] = score(targets.get(i), now, meanLatency);
-            best = Math.min(best, scores[i]);
+        double[] levels = new double[targets.size()];
+        for (int i = 0; i < levels.length; i++) {
+            levels[i] = level(targets.get(i), now, meanLatency);
         }
-        List<Target> nearBest = new ArrayList<>();
-        for (int i = 0; i < scores.length; i++) {
-            if (scores[i] <= best + SPREAD_REQUESTS) {
-                nearBest.add(targets.get(i));
-            }
-        }
-        return nearBest.get((int) (random.getAsDouble() * nearBest.size()));
+        return levels;
     }
 
-    private double score(Target target, long now, double meanLatency) {
+    private double level(Target target, long now, double meanLatency) {
         TargetLoad load = load(target);
         double latency = load.latencyMillis() == 0 ? meanLatency : load.latencyMillis();
         double slowness = Math.max(1, latency / meanLatency);
-        return (load.busy(now, MAX_REPORT_AGE) + 1) * slowness
+        int busy = load.busy(now, MAX_REPORT_AGE);
+        return busy * slowness
+                + (slowness - 1)
+                + (busy >= target.slots() ? FULL_REQUESTS : 0)
                 + FAILURE_REQUESTS * load.failureRate(now)
                 + (target.availabilityZone().equals(ownZone) ? 0 : OTHER_ZONE_REQUESTS);
     }
 
-    private boolean loadIdle(Target.Key key) {
-        TargetLoad load = loads.get(key);
-        return load == null || load.inFlight() == 0;
+    /** Returns the requests that the other entries are expected to send until the next report. */
+    private double expectedOfOthers(String service, long now) {
+        ArrayDeque<Long> recent = recentChoices.computeIfAbsent(service, name -> new ArrayDeque<>());
+        while (!recent.isEmpty() && now - recent.peekFirst() > RATE_WINDOW.toNanos()) {
+            recent.removeFirst();
+        }
+        recent.addLast(now);
+        double perInterval = recent.size() * (double) REPORT_INTERVAL.toNanos() / RATE_WINDOW.toNanos();
+        return perInterval * (entries - 1);
+    }
+
+    /** Returns the level up to which {@code requests} fill the targets, the lowest first. */
+    static double waterLevel(double[] levels, double requests) {
+        double[] sorted = levels.clone();
+        Arrays.sort(sorted);
+        double sum = 0;
+        for (int filled = 1; filled <= sorted.length; filled++) {
+            sum += sorted[filled - 1];
+            double level = (requests + sum) / filled;
+            if (filled == sorted.length || level <= sorted[filled]) {
+                return level;
+            }
+        }
+        throw new IllegalArgumentException("no targets");
+    }
+
+    private int draw(double[] levels, double waterLevel) {
+        double total = 0;
+        for (double level : levels) {
+            total += Math.max(0, waterLevel - level);
+        }
+        double remaining = random.getAsDouble() * total;
+        int lowest = 0;
+        for (int i = 0; i < levels.length; i++) {
+            remaining -= Math.max(0, waterLevel - levels[i]);
+            if (remaining < 0) {
+                return i;
+            }
+            lowest = levels[i] < levels[lowest] ? i : lowest;
+        }
+        return lowest;
     }
 }
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -131,9 +131,10 @@
         }
     }
 
-    /** Sets how many entries share the budget for sending again. */
+    /** Sets how many entries send to the same targets and share the budget for sending again. */
     public void setEntries(int entries) {
         state.setEntries(entries);
+        state.placement.setEntries(entries);
     }
 
     /** Returns whether new connections may come: a configuration is known, targets too, and no drain has begun. */
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -50,9 +50,9 @@
 
     private static final Duration READ_INTERVAL =
             Duration.ofMillis(500); // half of what a shift of demand needs to show
-    private static final Duration DRIVE_INTERVAL = Duration.ofMillis(25); // below one pass
+    private static final Duration DRIVE_INTERVAL = Duration.ofMillis(35); // below one pass
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(250); // hosts are a few ms apart
-    private static final Duration ELECTION_SILENCE = Duration.ofMillis(1_100); // two readings missed
+    private static final Duration ELECTION_SILENCE = Duration.ofMillis(1_100); // four readings missed
     private static final Duration ELECTION_STAGGER = Duration.ofMillis(120); // the first candidate wins before the next
     private static final Duration FIRST_ELECTION = Duration.ofSeconds(3); // agents find each other first
     private static final long VERSIONS_PER_TERM = 1_000_000; // two a second last for days
@@ -79,6 +79,7 @@
     private @Nullable MapRollout rollout;
     private int[][][] present = {};
     private int failedReadings;
+    private long reportedNanos;
     private final long startedNanos;
     private Duration patience = ELECTION_SILENCE;
     private boolean placementKnown;
@@ -286,6 +287,7 @@
                     readings.put(reading.state().view().rank(), reading);
                 }
             }
+            reportLoads(readings);
             List<RankView> views = views(readings, ranks.size());
             if (views.isEmpty()) {
                 return onUnreadable(open);
@@ -431,6 +433,11 @@
     }
 
     private void reportLoads(Map<Integer, RankCall.Reading> readings) {
+        long now = time.monotonicNanos();
+        if (now - reportedNanos < READ_INTERVAL.toNanos() * 4 / 5) {
+            return;
+        }
+        reportedNanos = now;
         List<RankLoad> loads = new ArrayList<>();
         readings.values().forEach(reading -> {
             EngineState state = reading.state();
--- a/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
@@ -16,11 +16,13 @@
  * demand moves on within seconds. No I/O.
  */
 public final class MapPolicy {
-    private static final double NEWEST_WEIGHT = 0.6; // a shift of demand counts for most of the estimate after a second
-    private static final double LEAST_RELIEF = 0.06; // above the noise of half a second of choices
+    private static final double NEWEST_WEIGHT = 0.4; // a shift of demand counts for most of the estimate after a second
+    private static final double LEAST_RELIEF = 0.12; // passes are slower while experts are loaded, by 15 in 100
+    private static final double LEAST_RELIEF_PER_LOAD = 0.01; // of a rank's mean load; loading has a price
     private static final double MIN_CHOICES_PER_EXPERT = 20; // below it the shares of experts are chance
-    private static final CostModel RELATIVE_COSTS = new CostModel(1e-6, 1, 1, 1, 1, 0, 0, 0);
-    private static final PlanPrices SKEW_ONLY = new PlanPrices(1, 0); // loads are bounded by the limits instead
+    private static final double SECONDS_PER_TOKEN = 1e-6; // only ratios matter
+    private static final long GIB = 1L << 30;
+    private static final CostModel RELATIVE_COSTS = new CostModel(SECONDS_PER_TOKEN, 1, GIB, 1, 1, 0, 0, 0);
     private static final int MAX_MOVES = 10_000; // each layer has a bound of its own
 
     private final int sets;
@@ -78,7 +80,7 @@
                 map,
                 load,
                 Collections.nCopies(ranks, RankCondition.serving(places)),
-                SKEW_ONLY,
+                new PlanPrices(1, LEAST_RELIEF_PER_LOAD * SECONDS_PER_TOKEN * experts / ranks),
                 RELATIVE_COSTS,
                 limits);
         ExpertMap planned = planner.plan(input).map();
