--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -50,7 +50,8 @@
 
     private static final Duration READ_INTERVAL =
             Duration.ofMillis(500); // half of what a shift of demand needs to show
-    private static final Duration DRIVE_INTERVAL = Duration.ofMillis(35); // below one pass
+    private static final Duration LOADING_INTERVAL = Duration.ofMillis(60); // an expert takes about as long to load
+    private static final Duration HOLD_INTERVAL = Duration.ofMillis(5); // the group must not wait for the held pass
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(250); // hosts are a few ms apart
     private static final Duration ELECTION_SILENCE = Duration.ofMillis(1_100); // four readings missed
     private static final Duration ELECTION_STAGGER = Duration.ofMillis(120); // the first candidate wins before the next
@@ -58,7 +59,10 @@
     private static final long VERSIONS_PER_TERM = 1_000_000; // two a second last for days
     private static final int MAX_FAILED_READINGS = 8; // about as long as a group may wait for a held pass
     private static final MapRollout.Limits LIMITS = new MapRollout.Limits(
-            3, Duration.ofSeconds(4), Duration.ofMillis(600), Duration.ofMillis(400)); // a group waits below a second
+            8,
+            Duration.ofSeconds(4),
+            Duration.ofMillis(600),
+            Duration.ofMillis(400)); // arming ends before the held pass
     private static final Logger logger = LoggerFactory.getLogger(MapController.class);
 
     private final Vertx vertx;
@@ -126,7 +130,7 @@
                         .log("a round of the map controller failed");
             }
             MapRollout open = rollout;
-            Duration pause = open == null ? READ_INTERVAL : DRIVE_INTERVAL;
+            Duration pause = open == null ? READ_INTERVAL : open.mayHold() ? HOLD_INTERVAL : LOADING_INTERVAL;
             vertx.setTimer(pause.toMillis(), id -> tick());
         });
     }
