--- a/proxy/src/main/java/firwheel/proxy/balance/Placement.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/Placement.java
@@ -1,8 +1,8 @@
 package firwheel.proxy.balance;
 
 import firwheel.model.TimeSource;
-import firwheel.proxy.target.Target;
-import firwheel.proxy.target.TargetDirectory;
+import firwheel.proxy.targets.Target;
+import firwheel.proxy.targets.TargetDirectory;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/proxy/src/main/java/firwheel/proxy/server/Dispatch.java
+++ b/proxy/src/main/java/firwheel/proxy/server/Dispatch.java
@@ -1,6 +1,6 @@
 package firwheel.proxy.server;
 
-import firwheel.proxy.target.Target;
+import firwheel.proxy.targets.Target;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -4,7 +4,7 @@
 import firwheel.proxy.balance.Placement;
 import firwheel.proxy.balance.RepeatBudget;
 import firwheel.proxy.config.RoutingConfig;
-import firwheel.proxy.target.TargetDirectory;
+import firwheel.proxy.targets.TargetDirectory;
 import io.vertx.core.Vertx;
 import java.util.HashMap;
 import java.util.Map;
--- a/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
@@ -10,7 +10,7 @@
 import firwheel.proxy.config.RequestKind;
 import firwheel.proxy.config.Route;
 import firwheel.proxy.config.RoutingConfig;
-import firwheel.proxy.target.Target;
+import firwheel.proxy.targets.Target;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
--- a/proxy/src/main/java/firwheel/proxy/server/TargetConnections.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetConnections.java
@@ -1,7 +1,7 @@
 package firwheel.proxy.server;
 
 import firwheel.model.TimeSource;
-import firwheel.proxy.target.Target;
+import firwheel.proxy.targets.Target;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
--- a/proxy/src/test/java/firwheel/proxy/balance/PlacementTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/PlacementTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import firwheel.model.ManualTimeSource;
-import firwheel.proxy.target.GroupMembership;
-import firwheel.proxy.target.Target;
-import firwheel.proxy.target.TargetDirectory;
+import firwheel.proxy.targets.GroupMembership;
+import firwheel.proxy.targets.Target;
+import firwheel.proxy.targets.TargetDirectory;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
