Finish a held rollout past a silent agent; silence of a whole group repeats nothing

Change: a successor reads and orders engines directly where agents are silent, elections begin after 0.7 s; a stream is sent again for silence only while other targets of its service are heard.

--- a/proxy/src/main/java/firwheel/proxy/balance/Placement.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/Placement.java
@@ -26,6 +26,7 @@
     private static final double OTHER_ZONE_REQUESTS = 0.3; // below one request: balance goes before distance
     private static final double FAILURE_REQUESTS = 12; // a target that fails half its requests is used last
     private static final double FULL_REQUESTS = 6; // a target with all slots taken makes a request wait for one
+    private static final Duration ANSWERED_LATELY = Duration.ofMillis(800); // several passes of a slow group
     private static final Duration RATE_WINDOW = Duration.ofSeconds(4); // long enough for some requests of one entry
 
     private final TargetDirectory directory;
@@ -68,6 +69,17 @@
         return !usable(service, tried, time.monotonicNanos()).isEmpty();
     }
 
+    /**
+     * Returns whether another target of {@code service} than this one was heard lately. Where none was, they wait for
+     * each other, as the ranks of a group do, and a request gains nothing at another.
+     */
+    public boolean othersAnswer(String service, Target silent) {
+        long now = time.monotonicNanos();
+        return directory.serving(service).stream()
+                .anyMatch(target ->
+                        !target.key().equals(silent.key()) && load(target).heardWithin(now, ANSWERED_LATELY));
+    }
+
     /**
      * Chooses a target for a request of {@code service} that is not in {@code tried}, or returns null where none may get
      * work.
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
@@ -19,6 +19,7 @@
     private long failureNanos;
     private double latencyMillis;
     private int silences;
+    private long heardNanos = Long.MIN_VALUE;
     private long suspendedUntilNanos = Long.MIN_VALUE;
 
     /** Counts a request sent to the target. */
@@ -40,6 +41,16 @@
         latencyMillis = latencyMillis == 0 ? tookMillis : latencyMillis + LATENCY_WEIGHT * (tookMillis - latencyMillis);
     }
 
+    /** Notes that bytes came from the target. */
+    public void onHeard(long nowNanos) {
+        heardNanos = nowNanos;
+    }
+
+    /** Returns whether bytes came from the target within {@code age}. */
+    public boolean heardWithin(long nowNanos, Duration age) {
+        return heardNanos != Long.MIN_VALUE && nowNanos - heardNanos <= age.toNanos();
+    }
+
     /** Takes a failure after which the target is still reachable. */
     public void onFailure(long nowNanos) {
         recordOutcome(nowNanos, 1);
--- a/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
@@ -342,6 +342,7 @@
 
         @Override
         public void onHead(AnswerHead received) {
+            load.onHeard(state.time.monotonicNanos());
             head = received;
             if (received.statedNotRun()) {
                 ledger.statedNotRun();
@@ -354,6 +355,7 @@
             if (answerHead == null) {
                 return;
             }
+            load.onHeard(state.time.monotonicNanos());
             if (to.kind() != RequestKind.STREAM || !isTargetsOwn(answerHead) || !answerHead.success()) {
                 whole.appendBuffer(bytes);
                 if (whole.length() > MAX_WHOLE_ANSWER_BYTES) {
@@ -512,6 +514,10 @@
             if (ended || finished) {
                 return;
             }
+            if (to.kind() == RequestKind.STREAM && !state.placement.othersAnswer(service, target)) {
+                watchSilence();
+                return;
+            }
             load.onUnreachable(state.time.monotonicNanos());
             if (sendAgain(to, "silence")) {
                 cancel();
--- a/proxy/src/test/java/firwheel/proxy/balance/PlacementTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/PlacementTest.java
@@ -87,6 +87,20 @@
         }
     }
 
+    @Nested
+    final class Silence {
+        @Test
+        void ofAllTargetsIsNoReasonToGoToAnother() {
+            Placement placement = placement(directory(3, true));
+            placement.load(rank(1, true)).onHeard(time.monotonicNanos());
+
+            assertThat(placement.othersAnswer("svc", rank(0, true))).isTrue();
+            assertThat(placement.othersAnswer("svc", rank(1, true))).isFalse();
+            time.advance(Duration.ofSeconds(1));
+            assertThat(placement.othersAnswer("svc", rank(0, true))).isFalse();
+        }
+    }
+
     @Nested
     final class WaterLevel {
         @Test
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -15,8 +15,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -38,12 +40,14 @@
      * @param engineAt returns the engine at an address, for ranks whose agent does not answer
      * @param policies returns the policy for a group, once its figures are known
      * @param loads takes the states of all ranks after each reading
+     * @param engines returns the engines that the last controller reported, for ranks whose agent does not answer
      */
     public record Environment(
             Supplier<List<String>> agentIps,
             Function<EngineAddress, Engine> engineAt,
             Supplier<@Nullable MapPolicy> policies,
-            Consumer<List<RankLoad>> loads) {}
+            Consumer<List<RankLoad>> loads,
+            Supplier<Set<EngineAddress>> engines) {}
 
     /** State of a rank's engine. */
     public record RankLoad(EngineAddress engine, EngineState state) {}
@@ -53,8 +57,10 @@
     private static final Duration LOADING_INTERVAL = Duration.ofMillis(60); // an expert takes about as long to load
     private static final Duration HOLD_INTERVAL = Duration.ofMillis(5); // the group must not wait for the held pass
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(250); // hosts are a few ms apart
-    private static final Duration ELECTION_SILENCE = Duration.ofMillis(1_100); // four readings missed
-    private static final Duration ELECTION_STAGGER = Duration.ofMillis(120); // the first candidate wins before the next
+    private static final Duration ELECTION_SILENCE =
+            Duration.ofMillis(700); // a held pass must not last two seconds; two readings missed
+    private static final Duration ELECTION_STAGGER =
+            Duration.ofMillis(50); // the first candidate mostly wins before the next
     private static final Duration FIRST_ELECTION = Duration.ofSeconds(3); // agents find each other first
     private static final long VERSIONS_PER_TERM = 1_000_000; // two a second last for days
     private static final int MAX_FAILED_READINGS = 8; // about as long as a group may wait for a held pass
@@ -65,6 +71,9 @@
             Duration.ofMillis(400)); // arming ends before the held pass
     private static final Logger logger = LoggerFactory.getLogger(MapController.class);
 
+    private static final String NO_AGENT = "silent"; // stands for the host of an agent that does not answer
+    private static final Duration PASS_BY = Duration.ofSeconds(2); // an agent that failed is not asked again meanwhile
+
     private final Vertx vertx;
     private final TimeSource time;
     private final RankAgent agent;
@@ -82,6 +91,7 @@
     private long @Nullable [] lastCounts;
     private @Nullable MapRollout rollout;
     private int[][][] present = {};
+    private final Map<String, Long> silentSinceNanos = new HashMap<>();
     private int failedReadings;
     private long reportedNanos;
     private final long startedNanos;
@@ -188,7 +198,34 @@
             calls.add(readAgent(ip, read));
         }
         calls.add(agent.read(read).thenApply(reading -> new Answer("", reading)));
-        return all(calls).thenAccept(this::onObserved);
+        return all(calls)
+                .thenCompose(
+                        answers -> cleared ? CompletableFuture.completedFuture(answers) : withSilentAgents(answers))
+                .thenAccept(this::onObserved);
+    }
+
+    /** Adds readings of the engines whose agent did not answer; only to finish what may be open, for it has a price. */
+    private CompletableFuture<List<Answer>> withSilentAgents(List<Answer> answers) {
+        Set<EngineAddress> missing = new HashSet<>(environment.engines().get());
+        answers.forEach(answer -> {
+            RankCall.Reading reading = answer.reading();
+            if (reading != null) {
+                missing.remove(reading.engine());
+            }
+        });
+        List<CompletableFuture<Answer>> calls = new ArrayList<>();
+        answers.forEach(answer -> calls.add(CompletableFuture.completedFuture(answer)));
+        missing.forEach(address -> calls.add(orAbsent(readEngine(address))));
+        return all(calls);
+    }
+
+    private CompletableFuture<Answer> readEngine(EngineAddress address) {
+        Engine silent = environment.engineAt().apply(address);
+        return silent.state()
+                .thenCombine(
+                        silent.placedExperts(),
+                        (state, placed) ->
+                                new Answer(NO_AGENT, new RankCall.Reading(term, address, state, null, placed)));
     }
 
     private void onObserved(List<Answer> answers) {
@@ -342,18 +379,19 @@
         if (rank.agentIp().isEmpty()) {
             return bounded(agent.order(new RankCall.Order(term, order)).thenApply(RankCall.OrderReply::taken));
         }
+        MapRollout open = rollout;
         boolean closes = order.action() != RankOrder.Action.ARM && order.action() != RankOrder.Action.HOLD;
+        // Only what ends a rollout may pass by an agent, which would have refused it from an earlier controller.
+        boolean mayPassBy = closes && open != null && open.mayHold();
+        Supplier<CompletableFuture<Boolean>> direct =
+                () -> environment.engineAt().apply(rank.engine()).give(order);
+        if (mayPassBy && isSilent(rank)) {
+            return bounded(direct.get());
+        }
         CompletableFuture<Boolean> byAgent = http.call(
                         rank.agentIp(), RankCall.ORDER_PATH, encode(new RankCall.Order(term, order)), CALL_TIMEOUT)
                 .thenApply(reply -> onOrderReply(decode(reply, RankCall.OrderReply.class)));
-        // Only what ends a rollout may pass by an agent, which would have refused it from an earlier controller.
-        MapRollout open = rollout;
-        boolean mayPassBy = closes && open != null && open.mayHold();
-        return mayPassBy
-                ? orElse(
-                        byAgent,
-                        () -> environment.engineAt().apply(rank.engine()).give(order))
-                : bounded(byAgent);
+        return mayPassBy ? orElse(byAgent, direct) : bounded(byAgent);
     }
 
     private boolean onOrderReply(RankCall.OrderReply reply) {
@@ -365,18 +403,30 @@
         if (rank.agentIp().isEmpty()) {
             return orAbsent(agent.read(read).thenApply(reading -> new Answer("", reading)));
         }
+        if (open.mayHold() && isSilent(rank)) {
+            return readDirectly(rank);
+        }
         CompletableFuture<Answer> byAgent = readAgent(rank.agentIp(), read);
         if (!open.mayHold()) {
             return byAgent;
         }
-        return byAgent.thenCompose(answer -> answer.reading() != null
-                ? CompletableFuture.completedFuture(answer)
-                : orAbsent(environment
-                        .engineAt()
-                        .apply(rank.engine())
-                        .state()
-                        .thenApply(state -> new Answer(
-                                rank.agentIp(), new RankCall.Reading(term, rank.engine(), state, null, null)))));
+        return byAgent.thenCompose(
+                answer -> answer.reading() != null ? CompletableFuture.completedFuture(answer) : readDirectly(rank));
+    }
+
+    private CompletableFuture<Answer> readDirectly(Rank rank) {
+        return orAbsent(environment
+                .engineAt()
+                .apply(rank.engine())
+                .state()
+                .thenApply(state ->
+                        new Answer(rank.agentIp(), new RankCall.Reading(term, rank.engine(), state, null, null))));
+    }
+
+    private boolean isSilent(Rank rank) {
+        Long failedNanos = silentSinceNanos.get(rank.agentIp());
+        boolean lately = failedNanos != null && time.monotonicNanos() - failedNanos < PASS_BY.toNanos();
+        return lately || rank.agentIp().equals(NO_AGENT);
     }
 
     private CompletableFuture<Answer> readAgent(String ip, RankCall.Read read) {
@@ -391,6 +441,7 @@
                             .addKeyValue("agent", ip)
                             .addKeyValue("reason", String.valueOf(error.getMessage()))
                             .log("the agent of a rank cannot be read");
+                    silentSinceNanos.put(ip, time.monotonicNanos());
                     return new Answer(ip, null);
                 });
     }
--- a/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
+++ b/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
@@ -49,6 +49,21 @@
         return map[rank];
     }
 
+    /** Puts the group into the state in which a controller left it that died while it armed the ranks. */
+    synchronized void leaveHeld(int holder, int armedRank) {
+        for (int rank = 0; rank < map.length; rank++) {
+            prepared[rank] = 5;
+            preparing[rank] = new int[][][] {{placement[0][0], placement[1][0], placement[2][0]}};
+        }
+        held[holder] = step + 1;
+        armed[armedRank] = 5;
+        armedStep[armedRank] = step + 1;
+    }
+
+    synchronized boolean isHeld() {
+        return java.util.Arrays.stream(held).anyMatch(heldStep -> heldStep == step + 1);
+    }
+
     Engine engine(int rank) {
         return new Engine() {
             @Override
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -12,6 +12,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -23,11 +25,15 @@
 /** Agents and controllers over loopback sockets, beside fake engines. */
 final class MapControllerTest {
     private static final int RANKS = 3;
+    private static final int FIRST_ENGINE_PORT = 9_000;
     private static final long GENEROUS_SECONDS = 40;
 
     private final Vertx vertx = Vertx.vertx();
     private final FakeGroup group = new FakeGroup(RANKS, 12);
     private final AtomicLong terms = new AtomicLong();
+    private final Set<EngineAddress> engines = Set.of(engine(0), engine(1), engine(2));
+    private final Map<Integer, MapPolicy> policies =
+            Map.of(0, new MapPolicy(1, 12, 6, 3), 1, new MapPolicy(1, 12, 6, 3), 2, new MapPolicy(1, 12, 6, 3));
     private final List<Integer> winners = new CopyOnWriteArrayList<>();
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
     private final List<MapController.RankLoad> loads = new CopyOnWriteArrayList<>();
@@ -37,13 +43,17 @@
         vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 
+    private static EngineAddress engine(int rank) {
+        return new EngineAddress(ip(rank), FIRST_ENGINE_PORT + rank);
+    }
+
     private static String ip(int rank) {
         return "127.0.0." + (rank + 1);
     }
 
     private void startRank(int rank, int port) {
         Engine engine = group.engine(rank);
-        EngineAddress address = new EngineAddress(ip(rank), 9_000);
+        EngineAddress address = engine(rank);
         SealedHttp http = new SealedHttp(vertx, new SharedKey("secret"), port);
         RankAgent agent = new RankAgent(engine, address, TimeSource.system());
         agent.serve(http);
@@ -64,17 +74,15 @@
                     return CompletableFuture.completedFuture(terms.incrementAndGet());
                 },
                 new MapController.Environment(
-                        () -> others, other -> engine, () -> new MapPolicyHolder().policy, loads::addAll));
+                        () -> others,
+                        other -> group.engine(other.port() - FIRST_ENGINE_PORT),
+                        () -> policies.get(rank),
+                        loads::addAll,
+                        () -> engines));
         servers.add(http.listen(ip(rank)).join());
         vertx.getOrCreateContext().runOnContext(ignored -> controller.start());
     }
 
-    /** Policies keep the load; one for each controller. */
-    private static final class MapPolicyHolder {
-        private static final MapPolicy SHARED = new MapPolicy(1, 12, 6, 3);
-        private final MapPolicy policy = SHARED;
-    }
-
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
@@ -96,6 +104,29 @@
         throw new AssertionError("no switch; winners " + winners);
     }
 
+    @Nested
+    final class TakingOver {
+        /** The controller and the agent of the last rank are gone; its engine holds a pass, another is armed for it. */
+        @Test
+        void releasesAHeldPassThoughTheAgentOfItsRankIsSilent() throws Exception {
+            group.leaveHeld(RANKS - 1, 0);
+            int port = freePort();
+            for (int rank = 0; rank < RANKS - 1; rank++) {
+                startRank(rank, port);
+            }
+
+            long giveUp =
+                    System.nanoTime() + Duration.ofSeconds(GENEROUS_SECONDS).toNanos();
+            while (group.isHeld() && System.nanoTime() < giveUp) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+
+            assertThat(group.isHeld()).isFalse();
+            assertThat(group.differed()).isFalse();
+            assertThat(group.mapVersion(0)).isZero();
+        }
+    }
+
     @Nested
     final class Switching {
         @Test
