--- a/admission/src/test/java/firwheel/admission/FaultyStore.java
+++ b/admission/src/test/java/firwheel/admission/FaultyStore.java
@@ -2,11 +2,11 @@
 
 import firwheel.model.FirwheelException;
 import firwheel.model.ResultCode;
+import firwheel.standin.InMemoryTableService;
 import firwheel.store.CommitResult;
 import firwheel.store.StoredRow;
 import firwheel.store.TableService;
 import firwheel.store.Transaction;
-import firwheel.standin.InMemoryTableService;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
--- a/table/src/test/java/firwheel/table/MembershipTest.java
+++ b/table/src/test/java/firwheel/table/MembershipTest.java
@@ -2,9 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import firwheel.store.HostList.HostEntry;
 import firwheel.standin.LaggingHostList;
 import firwheel.standin.VirtualTime;
+import firwheel.store.HostList.HostEntry;
 import firwheel.table.Membership.Standing;
 import java.time.Duration;
 import java.util.List;
--- a/table/src/test/java/firwheel/table/TableNodeTest.java
+++ b/table/src/test/java/firwheel/table/TableNodeTest.java
@@ -4,10 +4,10 @@
 
 import firwheel.model.TableSnapshot;
 import firwheel.model.TargetRow;
+import firwheel.standin.FaultyTableService.Faults;
 import firwheel.store.StoredRow;
 import firwheel.store.Transaction;
 import firwheel.store.Write;
-import firwheel.standin.FaultyTableService.Faults;
 import firwheel.table.FakeNetwork.Host;
 import firwheel.table.TableHolder.Adoption;
 import java.time.Duration;
