A request ends when its answer has gone to the socket

Connections counted as idle, and requests as ended, once the answer was handed over, while a slow link still had bytes to take; the drain then closed the connection. Ruled out: the drain limit (7.6 s after SIGTERM at 28.6 s). Shown by: PlatformEntryTest.Draining with a caller that reads slowly, red before and green after.

--- a/proxy/src/main/java/firwheel/proxy/server/CallerAnswer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/CallerAnswer.java
@@ -14,13 +14,16 @@
     private final HttpServerRequest request;
     private final HttpServerResponse response;
     private final boolean closeAfter;
+    private final Runnable onWritten;
     private boolean started;
     private boolean ended;
 
-    CallerAnswer(HttpServerRequest request, boolean closeAfter) {
+    /** Creates an answer; {@code onWritten} runs once all of it has gone to the socket, or it was broken off. */
+    CallerAnswer(HttpServerRequest request, boolean closeAfter, Runnable onWritten) {
         this.request = request;
         this.response = request.response();
         this.closeAfter = closeAfter;
+        this.onWritten = onWritten;
     }
 
     /** Returns whether the head was written, after which no refusal is possible. */
@@ -87,6 +90,7 @@
         if (!ended) {
             ended = true;
             var unused = request.connection().close();
+            onWritten.run();
         }
     }
 
@@ -105,6 +109,7 @@
             if (closeAfter) {
                 var unusedClose = request.connection().close();
             }
+            onWritten.run();
         });
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -179,14 +179,16 @@
         if (caller != null) {
             caller.open++;
         }
-        RequestRun run = new RequestRun(state, request, state.protocol.readRequest(request), this::onRunEnd);
+        RequestRun run = new RequestRun(state, request, state.protocol.readRequest(request), ended -> {
+            onAnswered(caller);
+            onRunEnd(ended);
+        });
         running.add(run);
         state.metrics.setInFlight(running.size());
         if (lingered) {
             run.refuse(Refusal.of(ResultCode.DRAINING, "arrived after the drain had begun", Duration.ZERO));
             return;
         }
-        request.response().endHandler(ignored -> onAnswered(caller));
         request.response().closeHandler(ignored -> run.onCallerGone());
         request.response().exceptionHandler(error -> run.onCallerGone());
         request.exceptionHandler(error -> run.onCallerGone());
@@ -229,8 +231,7 @@
     private void completeDrain() {
         CompletableFuture<Void> waiting = drained;
         if (waiting != null && lingered && running.isEmpty()) {
-            // The last answer may still be on its way to the socket.
-            vertx.setTimer(SWEEP_MILLIS, id -> waiting.complete(null));
+            waiting.complete(null);
         }
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
@@ -56,6 +56,7 @@
     private @Nullable Attempt current;
     private @Nullable String lastEventId;
     private boolean finished;
+    private boolean ended;
 
     RequestRun(ProxyState state, HttpServerRequest request, IncomingRequest incoming, Consumer<RequestRun> onEnd) {
         this.state = state;
@@ -64,7 +65,7 @@
         this.onEnd = onEnd;
         arrivedNanos = state.time.monotonicNanos();
         lastEventId = incoming.lastEventId();
-        answer = new CallerAnswer(request, state.draining());
+        answer = new CallerAnswer(request, state.draining(), this::end);
     }
 
     /** Starts once the whole request has arrived. */
@@ -98,9 +99,11 @@
     /** Ends the request because its caller has left; work that may not be repeated goes on to its end. */
     void onCallerGone() {
         if (finished) {
+            end();
             return;
         }
         finish("caller left");
+        end();
         Attempt running = current;
         if (running != null && !(route != null && route.kind() == RequestKind.AT_MOST_ONCE)) {
             running.cancel();
@@ -290,7 +293,13 @@
             state.vertx.cancelTimer(timer);
         }
         state.metrics.countAnswer(kindLabel(), outcome);
-        onEnd.accept(this);
+    }
+
+    private void end() {
+        if (!ended) {
+            ended = true;
+            onEnd.accept(this);
+        }
     }
 
     private long configVersion() {
