--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -243,8 +243,8 @@
             }
         }
         reportLoads(readings);
-        List<RankView> views = views(readings, size);
-        if (views.isEmpty() || !sameFormation(views)) {
+        List<RankView> views = GroupReadings.views(readings, size);
+        if (views.isEmpty() || !GroupReadings.sameFormation(views)) {
             return;
         }
         long known = presentVersion;
@@ -252,7 +252,7 @@
         if (views.get(0).epoch() != epoch || presentVersion != known) {
             placementKnown = false;
         }
-        int[][][] placed = placement(readings, size);
+        int[][][] placed = GroupReadings.placement(readings, size);
         if (placed.length > 0) {
             present = placed;
             placementKnown = true;
@@ -275,7 +275,7 @@
 
     private void considerMap(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
         MapPolicy policy = environment.policies().get();
-        long[] counts = totals(readings);
+        long[] counts = GroupReadings.totals(readings);
         long[] before = lastCounts;
         lastCounts = counts;
         if (policy == null) {
@@ -329,7 +329,7 @@
                 }
             }
             reportLoads(readings);
-            List<RankView> views = views(readings, ranks.size());
+            List<RankView> views = GroupReadings.views(readings, ranks.size());
             if (views.isEmpty()) {
                 return onUnreadable(open);
             }
@@ -467,26 +467,6 @@
                 .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
     }
 
-    private static List<RankView> views(Map<Integer, RankCall.Reading> readings, int size) {
-        List<RankView> views = new ArrayList<>();
-        for (int rank = 0; rank < size; rank++) {
-            RankCall.Reading reading = readings.get(rank);
-            if (reading == null || reading.state() == null) {
-                return List.of();
-            }
-            views.add(reading.state().view());
-        }
-        return views;
-    }
-
-    /** Returns whether all ranks are open in one formation with one map. */
-    private static boolean sameFormation(List<RankView> views) {
-        RankView first = views.get(0);
-        return views.stream()
-                .allMatch(view ->
-                        view.open() && view.epoch() == first.epoch() && view.mapVersion() == first.mapVersion());
-    }
-
     private void reportLoads(Map<Integer, RankCall.Reading> readings) {
         long now = time.monotonicNanos();
         if (now - reportedNanos < READ_INTERVAL.toNanos() * 4 / 5) {
@@ -503,40 +483,6 @@
         environment.loads().accept(loads);
     }
 
-    /** Returns the experts by set and rank, or nothing where a rank did not tell its own. */
-    private static int[][][] placement(Map<Integer, RankCall.Reading> readings, int size) {
-        int[][][] placement = new int[0][][];
-        for (int rank = 0; rank < size; rank++) {
-            RankCall.Reading reading = readings.get(rank);
-            int[][] placed = reading == null ? null : reading.placed();
-            if (placed == null) {
-                return new int[0][][];
-            }
-            if (placement.length == 0) {
-                placement = new int[placed.length][size][];
-            }
-            for (int set = 0; set < placed.length; set++) {
-                placement[set][rank] = placed[set];
-            }
-        }
-        return placement;
-    }
-
-    private static long[] totals(Map<Integer, RankCall.Reading> readings) {
-        long[] totals = new long[0];
-        for (RankCall.Reading reading : readings.values()) {
-            long[] counts = reading.counts();
-            if (counts == null) {
-                continue;
-            }
-            totals = totals.length == 0 ? new long[counts.length] : totals;
-            for (int i = 0; i < totals.length; i++) {
-                totals[i] += counts[i];
-            }
-        }
-        return totals;
-    }
-
     private byte[] encode(Object value) {
         try {
             return mapper.writeValueAsBytes(value);
