--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -15,6 +15,7 @@
     REQUEST_FAILED(202, Severity.WARN, "A request failed after it ran, or its outcome is unknown."),
     FOREIGN_FRAME(203, Severity.WARN, "A frame for no attempt of this process was dropped."),
     REQUEST_REPEATED(204, Severity.INFO, "A request goes to another target; the event says why."),
+    REQUEST_COMPLETED(205, Severity.INFO, "A request got the whole answer of a target."),
     TABLE_IN_FORCE(301, Severity.INFO, "A table revision is in force on this host."),
     TABLE_REJECTED(302, Severity.ERROR, "Rows in the store fail the checks; the last good revision stays in force."),
     TABLE_OLDER(303, Severity.WARN, "An older table revision was offered and ignored."),
--- a/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
@@ -35,7 +35,8 @@
     private static final long MIN_SILENCE_MILLIS = 250; // several times the time of a plain request
     private static final int MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024; // answers are kept in memory until whole
     private static final long NANOS_PER_MILLI = 1_000_000L;
-    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final int HTTP_OK = 200;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final Logger logger = LoggerFactory.getLogger(RequestRun.class);
 
@@ -55,6 +56,9 @@
     private long timer = -1;
     private @Nullable Attempt current;
     private @Nullable String lastEventId;
+    private long firstByteMillis = -1;
+    private long lastPieceMillis;
+    private long longestPauseMillis;
     private boolean finished;
     private boolean ended;
 
@@ -223,6 +227,30 @@
         return true;
     }
 
+    private void logCompletion(int status, Target target) {
+        Events.log(
+                logger,
+                EventCode.REQUEST_COMPLETED,
+                "request",
+                incoming.attemptId(),
+                "service",
+                service,
+                "target",
+                target.instanceId(),
+                "status",
+                status,
+                "sends",
+                ledger.sends(),
+                "config",
+                configVersion(),
+                "firstByteMillis",
+                firstByteMillis,
+                "longestPauseMillis",
+                longestPauseMillis,
+                "afterMillis",
+                elapsedMillis());
+    }
+
     /** Ends the request without an answer of a target. */
     private void fail(ResultCode code, String detail, Duration retryAfter) {
         if (finished) {
@@ -270,17 +298,26 @@
         }
     }
 
-    private void deliver(AnswerHead head, Buffer whole) {
+    private void deliver(Target target, AnswerHead head, Buffer whole) {
         if (finished) {
             return;
         }
-        recordFirstByte();
+        recordPiece();
         finish(head.success() ? "complete" : "target-failure");
+        logCompletion(head.status(), target);
         answer.sendWhole(head, whole);
     }
 
-    private void recordFirstByte() {
-        state.metrics.recordFirstByte(kindLabel(), (state.time.monotonicNanos() - arrivedNanos) / NANOS_PER_SECOND);
+    /** Measures the time to the first piece of the answer and the pauses between the others. */
+    private void recordPiece() {
+        long nowMillis = elapsedMillis();
+        if (firstByteMillis < 0) {
+            firstByteMillis = nowMillis;
+            state.metrics.recordFirstByte(kindLabel(), nowMillis / MILLIS_PER_SECOND);
+        } else {
+            longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastPieceMillis);
+        }
+        lastPieceMillis = nowMillis;
     }
 
     private String kindLabel() {
@@ -399,7 +436,7 @@
                 onStreamEnd();
             } else {
                 succeed();
-                deliver(answerHead, whole);
+                deliver(target, answerHead, whole);
             }
         }
 
@@ -428,9 +465,9 @@
             watchSilence();
             if (!answer.started()) {
                 load.onSuccess(state.time.monotonicNanos(), sinceSendMillis());
-                recordFirstByte();
                 answer.startStream(answerHead);
             }
+            recordPiece();
             if (event.id() != null) {
                 lastEventId = event.id();
             }
@@ -452,11 +489,12 @@
             if (!answer.started()) {
                 AnswerHead answerHead = head;
                 if (answerHead != null) {
-                    deliver(answerHead, whole);
+                    deliver(target, answerHead, whole);
                 }
                 return;
             }
             finish("complete");
+            logCompletion(HTTP_OK, target);
             answer.endStream();
         }
 
@@ -486,7 +524,7 @@
             if (answer.started()) {
                 fail(ResultCode.STREAM_BROKEN, "status " + answerHead.status() + " on resuming", Duration.ZERO);
             } else {
-                deliver(answerHead, whole);
+                deliver(target, answerHead, whole);
             }
         }
 
