Map controller back sooner after restarts; refusals during an outage send callers back late

A rollout at 8.9 s, when a tenth of the orders stay unanswered, held a pass for lack of repeats within 250 ms. Reports say whether a group computes, so that entries refuse at once; ReturnTimes sends callers back within 0.7 to 1 of the time that they will wait where no target computes. Ruled out: a longer wait in the entry instead of a refusal (callers give up a stream after 2 s).

--- a/proxy/src/main/java/firwheel/proxy/balance/Placement.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/Placement.java
@@ -1,6 +1,7 @@
 package firwheel.proxy.balance;
 
 import firwheel.model.TimeSource;
+import firwheel.proxy.targets.GroupMembership;
 import firwheel.proxy.targets.Target;
 import firwheel.proxy.targets.TargetDirectory;
 import java.time.Duration;
@@ -34,9 +35,12 @@
     private final TimeSource time;
     private final DoubleSupplier random;
     private final Map<Target.Key, TargetLoad> loads = new HashMap<>();
+    private final Map<String, GroupState> groups = new HashMap<>();
     private final Map<String, ArrayDeque<Long>> recentChoices = new HashMap<>();
     private int entries = 1;
 
+    private record GroupState(boolean open, long reportedNanos) {}
+
     /** Creates a placement; {@code random} draws uniformly between 0 and 1. */
     public Placement(TargetDirectory directory, String ownZone, TimeSource time, DoubleSupplier random) {
         this.directory = directory;
@@ -50,6 +54,11 @@
         this.entries = Math.max(1, entries);
     }
 
+    /** Takes a report of whether a group computes; it is newer than what the registry says for a while. */
+    public void onGroupState(String group, boolean open) {
+        groups.put(group, new GroupState(open, time.monotonicNanos()));
+    }
+
     /** Returns what is known of a target. */
     public TargetLoad load(Target target) {
         return loads.computeIfAbsent(target.key(), key -> new TargetLoad());
@@ -98,14 +107,27 @@
     private List<Target> usable(String service, Set<Target.Key> tried, long now) {
         List<Target> usable = new ArrayList<>();
         for (Target target : directory.serving(service)) {
-            boolean open = target.group() == null || target.group().open();
-            if (open && !tried.contains(target.key()) && load(target).usable(now)) {
+            if (computes(target, now)
+                    && !tried.contains(target.key())
+                    && load(target).usable(now)) {
                 usable.add(target);
             }
         }
         return usable;
     }
 
+    private boolean computes(Target target, long now) {
+        GroupMembership group = target.group();
+        if (group == null) {
+            return true;
+        }
+        GroupState reported = groups.get(group.name());
+        if (reported == null || now - reported.reportedNanos() > MAX_REPORT_AGE.toNanos()) {
+            return group.open();
+        }
+        return reported.open();
+    }
+
     private double[] levels(List<Target> targets, long now) {
         double meanLatency = targets.stream()
                 .mapToDouble(target -> load(target).latencyMillis())
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -17,7 +17,6 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -98,31 +97,16 @@
         }
     }
 
-    /** Returns the configuration in force, or null before the first is known. */
-    public @Nullable RoutingConfig config() {
-        return state.config();
-    }
-
     /** Returns the directory of targets. */
     public TargetDirectory directory() {
         return state.directory;
     }
 
-    /** Returns what is known of the load of a target. */
-    public Placement placement() {
-        return state.placement;
-    }
-
     /** Returns the metrics of this server. */
     public ProxyMetrics metrics() {
         return state.metrics;
     }
 
-    /** Replaces all known targets by what a full read of the registry returned. */
-    public void replaceTargets(Collection<Target> targets) {
-        state.directory.replaceAll(targets);
-    }
-
     /** Takes a report of a target's load. */
     public void onTargetLoad(String ip, int port, long startedMillis, int busy) {
         Target target = state.directory.findByAddress(ip, port);
@@ -131,6 +115,11 @@
         }
     }
 
+    /** Takes a report of whether a model group computes. */
+    public void onGroupState(String group, boolean open) {
+        state.placement.onGroupState(group, open);
+    }
+
     /** Sets how many entries send to the same targets and share the budget for sending again. */
     public void setEntries(int entries) {
         state.setEntries(entries);
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -3,6 +3,7 @@
 import firwheel.model.TimeSource;
 import firwheel.proxy.balance.Placement;
 import firwheel.proxy.balance.RepeatBudget;
+import firwheel.proxy.balance.ReturnTimes;
 import firwheel.proxy.config.RoutingConfig;
 import firwheel.proxy.targets.TargetDirectory;
 import io.vertx.core.Vertx;
@@ -22,6 +23,7 @@
     final TargetConnections connections;
     final ProxyMetrics metrics;
     final DoubleSupplier random;
+    final ReturnTimes returnTimes;
     private final Supplier<RepeatBudget> newBudget;
     private final Map<String, RepeatBudget> budgets = new HashMap<>();
     private @Nullable RoutingConfig config;
@@ -45,6 +47,7 @@
         this.connections = connections;
         this.metrics = metrics;
         this.random = random;
+        returnTimes = new ReturnTimes(random);
         this.newBudget = newBudget;
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
@@ -5,6 +5,7 @@
 import firwheel.model.ResultCode;
 import firwheel.proxy.attempt.EventSplitter;
 import firwheel.proxy.attempt.ExecutionLedger;
+import firwheel.proxy.balance.ReturnTimes.Reason;
 import firwheel.proxy.balance.TargetLoad;
 import firwheel.proxy.config.Organisation;
 import firwheel.proxy.config.RequestKind;
@@ -27,9 +28,6 @@
  * first failed and the request may run there. All methods run on the entry's event loop.
  */
 final class RequestRun {
-    private static final Duration BUSY_RETRY_AFTER =
-            Duration.ofMillis(300); // about the time in which a request in ten ends
-    private static final Duration RESTART_RETRY_AFTER = Duration.ofMillis(500); // a missing target needs about as long
     private static final long STREAM_SILENCE_MILLIS =
             1_700; // above the 1.5 s for which a group waits for a lost rank, below the callers' 2 s
     private static final long MIN_SILENCE_MILLIS = 250; // several times the time of a plain request
@@ -77,7 +75,8 @@
         body = wholeBody;
         RoutingConfig config = state.config();
         if (config == null) {
-            refuse(Refusal.of(ResultCode.NO_TABLE, "no configuration is known yet", RESTART_RETRY_AFTER));
+            refuse(Refusal.of(
+                    ResultCode.NO_TABLE, "no configuration is known yet", returnAfter(Reason.PROCESS_NOT_READY)));
             return;
         }
         Route found = config.route(host(), request.path());
@@ -160,7 +159,7 @@
             fail(
                     ResultCode.NO_TARGET,
                     "no target of service " + service + " may get work, " + tried.size() + " tried",
-                    RESTART_RETRY_AFTER);
+                    Reason.NO_TARGET_COMPUTES);
             return;
         }
         boolean fresh = to.kind() == RequestKind.AT_MOST_ONCE;
@@ -252,7 +251,7 @@
     }
 
     /** Ends the request without an answer of a target. */
-    private void fail(ResultCode code, String detail, Duration retryAfter) {
+    private void fail(ResultCode code, String detail, Reason reason) {
         if (finished) {
             return;
         }
@@ -262,7 +261,7 @@
             answer.abort();
         } else if (ledger.provenNotRun()) {
             ResultCode refusal = code.outcome() == firwheel.model.Outcome.NOT_RUN ? code : ResultCode.TARGET_REFUSED;
-            refuse(Refusal.of(refusal, detail, retryAfter));
+            refuse(Refusal.of(refusal, detail, returnAfter(reason)));
         } else {
             ResultCode failure = code.outcome() == firwheel.model.Outcome.NOT_RUN ? ResultCode.OUTCOME_UNKNOWN : code;
             logFailure(failure, detail);
@@ -270,6 +269,15 @@
         }
     }
 
+    /** Returns when the caller should come back; one that stated no deadline is taken to wait as long as the route allows. */
+    private Duration returnAfter(Reason reason) {
+        long deadlineMillis = incoming.deadlineMillis();
+        if (deadlineMillis == 0 && route != null) {
+            deadlineMillis = route.timeoutMillis();
+        }
+        return state.returnTimes.after(reason, Duration.ofMillis(deadlineMillis - elapsedMillis()));
+    }
+
     private void logFailure(ResultCode code, String detail) {
         Events.log(
                 logger,
@@ -292,7 +300,7 @@
             return;
         }
         Attempt running = current;
-        fail(ResultCode.DEADLINE_PASSED, "no whole answer in " + elapsedMillis() + " ms", BUSY_RETRY_AFTER);
+        fail(ResultCode.DEADLINE_PASSED, "no whole answer in " + elapsedMillis() + " ms", Reason.TARGETS_FULL);
         if (running != null) {
             running.cancel();
         }
@@ -506,7 +514,7 @@
                 fail(
                         ResultCode.TARGET_REFUSED,
                         "target " + target.instanceId() + " refused with status " + answerHead.status(),
-                        BUSY_RETRY_AFTER);
+                        state.placement.canChoose(service, Set.of()) ? Reason.TARGETS_FULL : Reason.NO_TARGET_COMPUTES);
             }
         }
 
@@ -522,7 +530,7 @@
                 }
             }
             if (answer.started()) {
-                fail(ResultCode.STREAM_BROKEN, "status " + answerHead.status() + " on resuming", Duration.ZERO);
+                fail(ResultCode.STREAM_BROKEN, "status " + answerHead.status() + " on resuming", Reason.TARGETS_FULL);
             } else {
                 deliver(target, answerHead, whole);
             }
@@ -533,7 +541,7 @@
                 fail(
                         answer.started() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN,
                         reason,
-                        RESTART_RETRY_AFTER);
+                        Reason.NO_TARGET_COMPUTES);
             }
         }
 
--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -44,18 +44,6 @@
         }
     }
 
-    /** Replaces the whole directory by what a full read of the registry returned. */
-    public void replaceAll(Collection<Target> targets) {
-        Map<String, Target> fresh = new HashMap<>();
-        targets.forEach(target -> fresh.put(target.instanceId(), target));
-        for (String id : List.copyOf(byId.keySet())) {
-            if (!fresh.containsKey(id)) {
-                remove(id);
-            }
-        }
-        fresh.values().forEach(this::put);
-    }
-
     /** Returns the targets of a service that may get new work. */
     public List<Target> serving(String service) {
         return servingByService.getOrDefault(service, List.of());
--- a/proxy/src/test/java/firwheel/proxy/balance/PlacementTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/PlacementTest.java
@@ -60,6 +60,22 @@
             assertThat(placement(directory(3, false)).choose("svc", Set.of())).isNull();
         }
 
+        /** The registry tells a second late that a group lost a rank, and again that it is whole. */
+        @Test
+        void followsReportsOfAGroupBeforeTheRegistry() {
+            Placement open = placement(directory(3, true));
+            open.onGroupState("g", false);
+            assertThat(open.choose("svc", Set.of())).isNull();
+
+            Placement closed = placement(directory(3, false));
+            closed.onGroupState("g", true);
+            assertThat(closed.choose("svc", Set.of())).isNotNull();
+
+            time.advance(Duration.ofSeconds(2));
+            assertThat(open.choose("svc", Set.of())).isNotNull();
+            assertThat(closed.choose("svc", Set.of())).isNull();
+        }
+
         @Test
         void triesASuspectedTargetAgainAfterAWhile() {
             TargetDirectory directory = directory(1, true);
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -53,15 +53,18 @@
     public record RankLoad(EngineAddress engine, EngineState state) {}
 
     private static final Duration READ_INTERVAL =
-            Duration.ofMillis(500); // half of what a shift of demand needs to show
+            Duration.ofMillis(250); // a quarter of the time in which a new map is loaded and in force
     private static final Duration LOADING_INTERVAL = Duration.ofMillis(60); // an expert takes about as long to load
     private static final Duration HOLD_INTERVAL = Duration.ofMillis(5); // the group must not wait for the held pass
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(250); // hosts are a few ms apart
+    private static final Duration HOLDING_CALL_TIMEOUT =
+            Duration.ofMillis(80); // three lost orders in a row fit between a hold and its pass
     private static final Duration ELECTION_SILENCE =
             Duration.ofMillis(700); // a held pass must not last two seconds; two readings missed
     private static final Duration ELECTION_STAGGER =
             Duration.ofMillis(50); // the first candidate mostly wins before the next
-    private static final Duration FIRST_ELECTION = Duration.ofSeconds(3); // agents find each other first
+    private static final Duration FIRST_ELECTION =
+            Duration.ofMillis(500); // a living controller hears of a new agent and reads it sooner
     private static final long VERSIONS_PER_TERM = 1_000_000; // two a second last for days
     private static final int MAX_FAILED_READINGS = 8; // about as long as a group may wait for a held pass
     private static final MapRollout.Limits LIMITS = new MapRollout.Limits(
@@ -180,6 +183,11 @@
                 cleared = false;
                 epoch = -1;
                 usedVersions = 0;
+                lastCounts = null;
+                MapPolicy policy = environment.policies().get();
+                if (policy != null) {
+                    policy.reset();
+                }
                 Events.log(logger, EventCode.LEASE_ACQUIRED, "group", group, "term", won);
             }
         });
@@ -195,7 +203,7 @@
         List<CompletableFuture<Answer>> calls = new ArrayList<>();
         RankCall.Read read = new RankCall.Read(term, true, !placementKnown);
         for (String ip : environment.agentIps().get()) {
-            calls.add(readAgent(ip, read));
+            calls.add(readAgent(ip, read, CALL_TIMEOUT));
         }
         calls.add(agent.read(read).thenApply(reading -> new Answer("", reading)));
         return all(calls)
@@ -281,15 +289,14 @@
         if (policy == null) {
             return;
         }
-        if (before == null || before.length != counts.length) {
-            policy.reset();
-            return;
-        }
-        long[] choices = new long[counts.length];
-        for (int i = 0; i < counts.length; i++) {
-            choices[i] = Math.max(0, counts[i] - before[i]);
+        // The demand from before a group was formed anew is the best guess for its first map.
+        if (before != null && before.length == counts.length) {
+            long[] choices = new long[counts.length];
+            for (int i = 0; i < counts.length; i++) {
+                choices[i] = Math.max(0, counts[i] - before[i]);
+            }
+            policy.onChoices(choices);
         }
-        policy.onChoices(choices);
         int[][][] planned = policy.plan(present);
         if (planned != null) {
             long version = nextVersion();
@@ -389,7 +396,10 @@
             return bounded(direct.get());
         }
         CompletableFuture<Boolean> byAgent = http.call(
-                        rank.agentIp(), RankCall.ORDER_PATH, encode(new RankCall.Order(term, order)), CALL_TIMEOUT)
+                        rank.agentIp(),
+                        RankCall.ORDER_PATH,
+                        encode(new RankCall.Order(term, order)),
+                        open == null ? CALL_TIMEOUT : callTimeout(open))
                 .thenApply(reply -> onOrderReply(decode(reply, RankCall.OrderReply.class)));
         return mayPassBy ? orElse(byAgent, direct) : bounded(byAgent);
     }
@@ -406,7 +416,7 @@
         if (open.mayHold() && isSilent(rank)) {
             return readDirectly(rank);
         }
-        CompletableFuture<Answer> byAgent = readAgent(rank.agentIp(), read);
+        CompletableFuture<Answer> byAgent = readAgent(rank.agentIp(), read, callTimeout(open));
         if (!open.mayHold()) {
             return byAgent;
         }
@@ -429,8 +439,12 @@
         return lately || rank.agentIp().equals(NO_AGENT);
     }
 
-    private CompletableFuture<Answer> readAgent(String ip, RankCall.Read read) {
-        return http.call(ip, RankCall.READ_PATH, encode(read), CALL_TIMEOUT)
+    private static Duration callTimeout(MapRollout open) {
+        return open.mayHold() ? HOLDING_CALL_TIMEOUT : CALL_TIMEOUT;
+    }
+
+    private CompletableFuture<Answer> readAgent(String ip, RankCall.Read read, Duration timeout) {
+        return http.call(ip, RankCall.READ_PATH, encode(read), timeout)
                 .thenApply(reply -> {
                     RankCall.Reading reading = decode(reply, RankCall.Reading.class);
                     agent.learnTerm(reading.term());
--- a/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
+++ b/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
@@ -16,6 +16,8 @@
     private final int[][][][] preparing;
     private final long[] counts;
     private long step;
+    private long epoch = 1;
+    private boolean choosing = true;
     private boolean differed;
 
     FakeGroup(int ranks, int experts) {
@@ -28,6 +30,11 @@
         placement = new int[ranks][1][];
         preparing = new int[ranks][][][];
         counts = new long[experts];
+        placeInTurn();
+    }
+
+    private void placeInTurn() {
+        int ranks = placement.length;
         for (int rank = 0; rank < ranks; rank++) {
             int first = rank * experts / ranks;
             placement[rank][0] = java.util.stream.IntStream.range(first, (rank + 1) * experts / ranks)
@@ -35,6 +42,18 @@
         }
     }
 
+    /** Forms the group anew: with its first map, and from now on without requests that would choose experts. */
+    synchronized void formAnewWithoutWork() {
+        epoch++;
+        choosing = false;
+        java.util.Arrays.fill(map, 0);
+        java.util.Arrays.fill(prepared, RankView.NONE);
+        java.util.Arrays.fill(armed, RankView.NONE);
+        java.util.Arrays.fill(armedStep, RankView.NONE);
+        java.util.Arrays.fill(held, RankView.NONE);
+        placeInTurn();
+    }
+
     private static long[] filled(int ranks) {
         long[] values = new long[ranks];
         java.util.Arrays.fill(values, RankView.NONE);
@@ -90,14 +109,14 @@
 
     private synchronized EngineState report(int rank) {
         pass();
-        RankView view =
-                new RankView(rank, 1, true, step, map[rank], prepared[rank], armed[rank], armedStep[rank], held[rank]);
+        RankView view = new RankView(
+                rank, epoch, true, step, map[rank], prepared[rank], armed[rank], armedStep[rank], held[rank]);
         return new EngineState(7, "g", map.length, view, 1, 2, 3);
     }
 
     /** The first rank's experts are chosen ten times as often as all others. */
     private synchronized long[] choices() {
-        for (int expert = 0; expert < experts; expert++) {
+        for (int expert = 0; choosing && expert < experts; expert++) {
             counts[expert] += expert < experts / map.length ? 5_000 : 500;
         }
         return counts.clone();
@@ -129,6 +148,9 @@
 
     private synchronized boolean take(RankOrder order) {
         int rank = order.rank();
+        if (order.epoch() != epoch) {
+            return false;
+        }
         switch (order.action()) {
             case PREPARE -> {
                 if (armed[rank] != RankView.NONE || order.version() <= Math.max(prepared[rank], map[rank])) {
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -142,5 +142,20 @@
             assertThat(loads).isNotEmpty();
             assertThat(loads.get(0).state().waiting()).isEqualTo(2);
         }
+
+        /** What was chosen before a rank was lost is known still; a group with its first map is several times slower. */
+        @Test
+        void givesAGroupThatWasFormedAnewAMapBeforeItsDemandIsMeasuredAgain() throws Exception {
+            int port = freePort();
+            for (int rank = 0; rank < RANKS; rank++) {
+                startRank(rank, port);
+            }
+            awaitSwitch();
+
+            group.formAnewWithoutWork();
+
+            awaitSwitch();
+            assertThat(group.differed()).isFalse();
+        }
     }
 }
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -35,6 +35,12 @@
      */
     record TargetLoad(String ip, int port, long startedMillis, int busy) {}
 
-    /** Loads of the targets of one group, read on their own hosts at about the same time. */
-    record GroupLoad(List<TargetLoad> targets) implements MeshMessage {}
+    /**
+     * Loads of the targets of one group, read on their own hosts at about the same time.
+     *
+     * @param group name of the group
+     * @param open whether the group computes; otherwise a rank is missing
+     * @param targets the ranks that could be read
+     */
+    record GroupLoad(String group, boolean open, List<TargetLoad> targets) implements MeshMessage {}
 }
