Slow and unreachable ranks are planned for and placed around; quicker starts

A start takes about 1 s of processor time, charged at half a core after each power loss. Change: agents report how slow their engine is; the planner takes experts from slow ranks, entries send them little; ranks that neither their agent nor a direct call can read are reported and left out; choices are counted by rank, so that a missing rank is no drop of demand. A process that starts beats to all at once; agents that never heard a controller stand after 0.5 s.

--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/LogSetup.java
@@ -0,0 +1,92 @@
+package firwheel.cli;
+
+import ch.qos.logback.classic.AsyncAppender;
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import ch.qos.logback.core.spi.ContextAwareBase;
+import net.logstash.logback.encoder.LogstashEncoder;
+import net.logstash.logback.fieldnames.LogstashFieldNames;
+import org.slf4j.Logger;
+
+/** Sets the log up in code: reading it from XML would take a tenth of the processor time of a start. */
+public final class LogSetup extends ContextAwareBase implements Configurator {
+    /** System property that names the {@link LogFormat} to start with. */
+    static final String FORMAT_PROPERTY = "firwheel.log";
+
+    private static final String TEXT_PATTERN =
+            "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %logger{0} %msg %kvp%n%ex{short}";
+    private static final int QUEUED_LINES = 2_048; // some seconds of a busy entry
+    private static final int LINES_KEPT_FOR_WARNINGS = 512; // with less room left, lines of level INFO are dropped
+    private static final int LOGGER_NAME_LENGTH = 20; // enough for the class; packages are shortened
+
+    @Override
+    public ExecutionStatus configure(LoggerContext context) {
+        apply(context, LogFormat.ofLabel(System.getProperty(FORMAT_PROPERTY, "text")));
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+
+    /** Makes a context write in {@code format} from now on. */
+    static void apply(LoggerContext context, LogFormat format) {
+        Appender<ILoggingEvent> appender =
+                switch (format) {
+                    case TEXT -> console(context, "System.err", text(context));
+                    case JSON -> console(context, "System.err", new LogstashEncoder());
+                    case SERVICE -> neverBlocking(context, console(context, "System.out", shortJson()));
+                };
+        context.getLogger("io.netty").setLevel(Level.WARN);
+        ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.INFO);
+        root.detachAndStopAllAppenders();
+        root.addAppender(appender);
+    }
+
+    private static Encoder<ILoggingEvent> text(LoggerContext context) {
+        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        encoder.setContext(context);
+        encoder.setPattern(TEXT_PATTERN);
+        return encoder;
+    }
+
+    private static Encoder<ILoggingEvent> shortJson() {
+        LogstashFieldNames names = new LogstashFieldNames();
+        names.setTimestamp("time");
+        names.setVersion("[ignore]");
+        names.setThread("[ignore]");
+        names.setLevelValue("[ignore]");
+        LogstashEncoder encoder = new LogstashEncoder();
+        encoder.setFieldNames(names);
+        encoder.setShortenedLoggerNameLength(LOGGER_NAME_LENGTH);
+        return encoder;
+    }
+
+    private static Appender<ILoggingEvent> console(
+            LoggerContext context, String target, Encoder<ILoggingEvent> encoder) {
+        encoder.setContext(context);
+        encoder.start();
+        ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+        appender.setContext(context);
+        appender.setTarget(target);
+        appender.setEncoder(encoder);
+        appender.start();
+        return appender;
+    }
+
+    /** A slow reader of the output costs lines and never holds a request up. */
+    static Appender<ILoggingEvent> neverBlocking(LoggerContext context, Appender<ILoggingEvent> output) {
+        AsyncAppender appender = new AsyncAppender();
+        appender.setContext(context);
+        appender.setQueueSize(QUEUED_LINES);
+        appender.setDiscardingThreshold(LINES_KEPT_FOR_WARNINGS);
+        appender.setNeverBlock(true);
+        appender.addAppender(output);
+        appender.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(appender::stop, "log-flush"));
+        return appender;
+    }
+}
--- a/cli/src/test/java/firwheel/cli/CommandLineTest.java
+++ b/cli/src/test/java/firwheel/cli/CommandLineTest.java
@@ -150,6 +150,20 @@
             assertThat(printed()).isEmpty();
         }
 
+        @Test
+        void ofAServiceAreShortJsonOnStandardOutput() {
+            LogFormat.SERVICE.apply();
+            firwheel.model.Events.log(
+                    org.slf4j.LoggerFactory.getLogger(CommandLineTest.class),
+                    firwheel.model.EventCode.PROCESS_STARTED,
+                    "role",
+                    "entry");
+            LogFormat.TEXT.apply(); // writes what is queued
+
+            assertThat(printed()).contains("\"event\":\"EV-101\"", "\"role\":\"entry\"");
+            assertThat(printed()).doesNotContain("thread_name", "@version");
+        }
+
         @Test
         void areTextByDefault() {
             LogFormat.TEXT.apply();
--- a/mesh/src/main/java/firwheel/mesh/Mesh.java
+++ b/mesh/src/main/java/firwheel/mesh/Mesh.java
@@ -73,7 +73,8 @@
         return socket.listen(port, self.ip())
                 .onSuccess(listening -> {
                     vertx.setPeriodic(BEAT_INTERVAL.toMillis(), id -> beat());
-                    beat();
+                    // A process that starts is told to all at once; by way of others it would take seconds.
+                    send(membership.alive(), nextBeat());
                 })
                 .<Void>mapEmpty()
                 .toCompletionStage()
@@ -108,9 +109,12 @@
 
     /** Beats at once, for instance after a change that others wait for. */
     public void beat() {
+        send(membership.beatTargets(BEAT_FANOUT), nextBeat());
+    }
+
+    private Beat nextBeat() {
         self = new Member(self.ip(), self.availabilityZone(), self.role(), self.incarnation(), self.beat() + 1);
-        Beat beat = knowledge.beat(self, membership.sample(SAMPLED_MEMBERS));
-        send(membership.beatTargets(BEAT_FANOUT), beat);
+        return knowledge.beat(self, membership.sample(SAMPLED_MEMBERS));
     }
 
     private Buffer seal(Message message) {
--- a/proxy/src/main/java/firwheel/proxy/balance/Placement.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/Placement.java
@@ -144,7 +144,7 @@
     private double level(Target target, long now, double meanLatency) {
         TargetLoad load = load(target);
         double latency = load.latencyMillis() == 0 ? meanLatency : load.latencyMillis();
-        double slowness = Math.max(1, latency / meanLatency);
+        double slowness = Math.max(load.slowdown(now, MAX_REPORT_AGE), latency / meanLatency);
         int busy = load.busy(now, MAX_REPORT_AGE);
         return busy * slowness
                 + (slowness - 1)
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
@@ -10,10 +10,13 @@
     private static final long FIRST_SUSPENSION_NANOS = Duration.ofMillis(500).toNanos(); // two beats of a short outage
     private static final long MAX_SUSPENSION_NANOS =
             Duration.ofSeconds(3).toNanos(); // a repaired target waits no longer for a trial
+    private static final long REPORTED_UNREACHABLE_NANOS =
+            Duration.ofSeconds(1).toNanos(); // two reports of a group that cannot be read whole
 
     private int inFlight;
     private int reportedBusy;
     private int sendsSinceReport;
+    private double slowdown = 1;
     private long reportedNanos = Long.MIN_VALUE;
     private double failureRate;
     private long failureNanos;
@@ -21,6 +24,7 @@
     private int silences;
     private long heardNanos = Long.MIN_VALUE;
     private long suspendedUntilNanos = Long.MIN_VALUE;
+    private long unreachableUntilNanos = Long.MIN_VALUE;
 
     /** Counts a request sent to the target. */
     public void onSend() {
@@ -64,16 +68,23 @@
         silences++;
     }
 
-    /** Takes a report of the requests that the target computes and queues for all entries. */
-    public void onReport(long nowNanos, int busy) {
+    /** Takes a report of the requests that the target computes and queues for all entries, and of how slow it is. */
+    public void onReport(long nowNanos, int busy, double reportedSlowdown) {
+        slowdown = reportedSlowdown;
+        unreachableUntilNanos = Long.MIN_VALUE;
         reportedBusy = busy;
         reportedNanos = nowNanos;
         sendsSinceReport = 0;
     }
 
+    /** Takes a report that others cannot reach the target: what is sent would wait, perhaps beyond its caller. */
+    public void onReportedUnreachable(long nowNanos) {
+        unreachableUntilNanos = nowNanos + REPORTED_UNREACHABLE_NANOS;
+    }
+
     /** Returns whether a trial is due or the target is not suspected. */
     public boolean usable(long nowNanos) {
-        return nowNanos >= suspendedUntilNanos;
+        return nowNanos >= suspendedUntilNanos && nowNanos >= unreachableUntilNanos;
     }
 
     /** Returns the share of recent requests that failed, fading with time. */
@@ -92,8 +103,12 @@
      * requests where no report is younger than {@code maxReportAge}.
      */
     public int busy(long nowNanos, Duration maxReportAge) {
-        boolean reported = reportedNanos != Long.MIN_VALUE && nowNanos - reportedNanos <= maxReportAge.toNanos();
-        return reported ? Math.max(inFlight, reportedBusy + sendsSinceReport) : inFlight;
+        return isReported(nowNanos, maxReportAge) ? Math.max(inFlight, reportedBusy + sendsSinceReport) : inFlight;
+    }
+
+    /** Returns how slow the target says that it is, or 1 where no report is younger than {@code maxReportAge}. */
+    public double slowdown(long nowNanos, Duration maxReportAge) {
+        return isReported(nowNanos, maxReportAge) ? slowdown : 1;
     }
 
     /** Returns this entry's own requests at the target. */
@@ -101,6 +116,10 @@
         return inFlight;
     }
 
+    private boolean isReported(long nowNanos, Duration maxReportAge) {
+        return reportedNanos != Long.MIN_VALUE && nowNanos - reportedNanos <= maxReportAge.toNanos();
+    }
+
     private void recordOutcome(long nowNanos, double failed) {
         failureRate = failureRate(nowNanos) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * failed;
         failureNanos = nowNanos;
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -108,10 +108,18 @@
     }
 
     /** Takes a report of a target's load. */
-    public void onTargetLoad(String ip, int port, long startedMillis, int busy) {
+    public void onTargetLoad(String ip, int port, long startedMillis, int busy, double slowdown) {
         Target target = state.directory.findByAddress(ip, port);
         if (target != null && target.startedMillis() == startedMillis) {
-            state.placement.load(target).onReport(state.time.monotonicNanos(), busy);
+            state.placement.load(target).onReport(state.time.monotonicNanos(), busy, slowdown);
+        }
+    }
+
+    /** Takes a report that a target cannot be reached from where its group is read. */
+    public void onTargetUnreachable(String ip, int port) {
+        Target target = state.directory.findByAddress(ip, port);
+        if (target != null) {
+            state.placement.load(target).onReportedUnreachable(state.time.monotonicNanos());
         }
     }
 
--- a/proxy/src/test/java/firwheel/proxy/balance/PlacementTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/PlacementTest.java
@@ -76,6 +76,19 @@
             assertThat(closed.choose("svc", Set.of())).isNull();
         }
 
+        /** Requests sent on kept connections to a frozen host arrive when it wakes, after their callers have left. */
+        @Test
+        void leavesOutATargetThatCannotBeReadUntilItIsReadAgain() {
+            Placement placement = placement(directory(2, true));
+            placement.load(rank(0, true)).onReportedUnreachable(time.monotonicNanos());
+
+            for (int i = 0; i < 50; i++) {
+                assertThat(placement.choose("svc", Set.of())).isEqualTo(rank(1, true));
+            }
+            placement.load(rank(0, true)).onReport(time.monotonicNanos(), 0, 1);
+            assertThat(placement.choose("svc", Set.of(rank(1, true).key()))).isEqualTo(rank(0, true));
+        }
+
         @Test
         void triesASuspectedTargetAgainAfterAWhile() {
             TargetDirectory directory = directory(1, true);
@@ -184,7 +197,7 @@
         private static void report(List<Placement> placements, int[] busy, long now) {
             for (Placement placement : placements) {
                 for (int rank = 0; rank < RANKS; rank++) {
-                    placement.load(rank(rank, true)).onReport(now, busy[rank]);
+                    placement.load(rank(rank, true)).onReport(now, busy[rank], 1);
                 }
             }
         }
--- a/rebalance/src/main/java/firwheel/rebalance/EngineState.java
+++ b/rebalance/src/main/java/firwheel/rebalance/EngineState.java
@@ -12,6 +12,14 @@
  * @param running requests that it computes
  * @param waiting requests that wait in its queue
  * @param memoryTokens tokens in its memory that cannot be evicted
+ * @param slowdown its time for a unit of work relative to its usual one, 1 or more
  */
 public record EngineState(
-        long startedMillis, String group, int groupSize, RankView view, int running, int waiting, long memoryTokens) {}
+        long startedMillis,
+        String group,
+        int groupSize,
+        RankView view,
+        int running,
+        int waiting,
+        long memoryTokens,
+        double slowdown) {}
--- a/rebalance/src/main/java/firwheel/rebalance/GroupReadings.java
+++ b/rebalance/src/main/java/firwheel/rebalance/GroupReadings.java
@@ -2,6 +2,8 @@
 
 import firwheel.experts.rollout.RankView;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -49,19 +51,48 @@
         return placement;
     }
 
-    /** Returns how often each expert was chosen, over all ranks. */
-    static long[] totals(Map<Integer, RankCall.Reading> readings) {
-        long[] totals = new long[0];
-        for (RankCall.Reading reading : readings.values()) {
-            long[] counts = reading.counts();
-            if (counts == null) {
+    /** Returns each rank's time for a unit of work relative to its usual one. */
+    static double[] slowdowns(Map<Integer, RankCall.Reading> readings, int size) {
+        double[] slowdowns = new double[size];
+        Arrays.fill(slowdowns, 1);
+        readings.forEach((rank, reading) -> {
+            EngineState state = reading.state();
+            if (state != null && rank < size) {
+                slowdowns[rank] = state.slowdown();
+            }
+        });
+        return slowdowns;
+    }
+
+    /** Returns how often requests of each rank chose each expert, for the ranks that told. */
+    static Map<Integer, long[]> counts(Map<Integer, RankCall.Reading> readings) {
+        Map<Integer, long[]> counts = new HashMap<>();
+        readings.forEach((rank, reading) -> {
+            long[] told = reading.counts();
+            if (told != null) {
+                counts.put(rank, told);
+            }
+        });
+        return counts;
+    }
+
+    /**
+     * Returns how often each expert was chosen between two readings, over the ranks that told both times and did not
+     * start anew, or nothing where there is none.
+     */
+    static long[] increase(Map<Integer, long[]> before, Map<Integer, long[]> now) {
+        long[] increase = new long[0];
+        for (Map.Entry<Integer, long[]> entry : now.entrySet()) {
+            long[] later = entry.getValue();
+            long[] earlier = before.get(entry.getKey());
+            if (earlier == null || earlier.length != later.length) {
                 continue;
             }
-            totals = totals.length == 0 ? new long[counts.length] : totals;
-            for (int i = 0; i < totals.length; i++) {
-                totals[i] += counts[i];
+            increase = increase.length == 0 ? new long[later.length] : increase;
+            for (int i = 0; i < Math.min(increase.length, later.length); i++) {
+                increase[i] += Math.max(0, later[i] - earlier[i]);
             }
         }
-        return totals;
+        return increase;
     }
 }
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -39,19 +39,29 @@
      * @param agentIps returns the hosts of all living agents but this one
      * @param engineAt returns the engine at an address, for ranks whose agent does not answer
      * @param policies returns the policy for a group, once its figures are known
-     * @param loads takes the states of all ranks after each reading
+     * @param reports takes what each reading of the group found
      * @param engines returns the engines that the last controller reported, for ranks whose agent does not answer
      */
     public record Environment(
             Supplier<List<String>> agentIps,
             Function<EngineAddress, Engine> engineAt,
             Supplier<@Nullable MapPolicy> policies,
-            Consumer<List<RankLoad>> loads,
+            Consumer<GroupReport> reports,
             Supplier<Set<EngineAddress>> engines) {}
 
     /** State of a rank's engine. */
     public record RankLoad(EngineAddress engine, EngineState state) {}
 
+    /**
+     * What a reading of a group found.
+     *
+     * @param group name of the group
+     * @param open whether all ranks that were read say that the group computes
+     * @param loads states of the ranks that were read
+     * @param unreachable engines that neither their agent nor a direct call could read
+     */
+    public record GroupReport(String group, boolean open, List<RankLoad> loads, Set<EngineAddress> unreachable) {}
+
     private static final Duration READ_INTERVAL =
             Duration.ofMillis(250); // a quarter of the time in which a new map is loaded and in force
     private static final Duration LOADING_INTERVAL = Duration.ofMillis(60); // an expert takes about as long to load
@@ -91,14 +101,13 @@
     private long epoch = -1;
     private boolean cleared;
     private long usedVersions;
-    private long @Nullable [] lastCounts;
+    private Map<Integer, long[]> lastCounts = Map.of();
     private @Nullable MapRollout rollout;
     private int[][][] present = {};
     private final Map<String, Long> silentSinceNanos = new HashMap<>();
     private int failedReadings;
     private long reportedNanos;
-    private final long startedNanos;
-    private Duration patience = ELECTION_SILENCE;
+    private Duration patience = FIRST_ELECTION;
     private boolean placementKnown;
     private long presentVersion = RankView.NONE;
 
@@ -124,7 +133,6 @@
         this.http = http;
         this.election = election;
         this.environment = environment;
-        startedNanos = time.monotonicNanos();
     }
 
     /** Starts following or controlling; it never ends. */
@@ -156,16 +164,14 @@
             rollout = null;
             agent.resetSilence();
         }
-        if (time.monotonicNanos() - startedNanos < FIRST_ELECTION.toNanos()) {
-            agent.resetSilence();
-        }
         if (agent.silence().compareTo(patience) < 0) {
             return CompletableFuture.completedFuture(null);
         }
         return engine.state().thenCompose(state -> {
             group = state.group();
-            Duration wanted = ELECTION_SILENCE.plus(
-                    ELECTION_STAGGER.multipliedBy(state.view().rank()));
+            Duration silence = agent.heardController() ? ELECTION_SILENCE : FIRST_ELECTION;
+            Duration wanted =
+                    silence.plus(ELECTION_STAGGER.multipliedBy(state.view().rank()));
             if (group.isEmpty() || !wanted.equals(patience)) {
                 patience = wanted;
                 return CompletableFuture.<Void>completedFuture(null);
@@ -183,7 +189,7 @@
                 cleared = false;
                 epoch = -1;
                 usedVersions = 0;
-                lastCounts = null;
+                lastCounts = Map.of();
                 MapPolicy policy = environment.policies().get();
                 if (policy != null) {
                     policy.reset();
@@ -206,13 +212,10 @@
             calls.add(readAgent(ip, read, CALL_TIMEOUT));
         }
         calls.add(agent.read(read).thenApply(reading -> new Answer("", reading)));
-        return all(calls)
-                .thenCompose(
-                        answers -> cleared ? CompletableFuture.completedFuture(answers) : withSilentAgents(answers))
-                .thenAccept(this::onObserved);
+        return all(calls).thenCompose(this::withSilentAgents).thenAccept(this::onObserved);
     }
 
-    /** Adds readings of the engines whose agent did not answer; only to finish what may be open, for it has a price. */
+    /** Adds readings of the engines whose agent did not answer. */
     private CompletableFuture<List<Answer>> withSilentAgents(List<Answer> answers) {
         Set<EngineAddress> missing = new HashSet<>(environment.engines().get());
         answers.forEach(answer -> {
@@ -223,7 +226,7 @@
         });
         List<CompletableFuture<Answer>> calls = new ArrayList<>();
         answers.forEach(answer -> calls.add(CompletableFuture.completedFuture(answer)));
-        missing.forEach(address -> calls.add(orAbsent(readEngine(address))));
+        missing.forEach(address -> calls.add(orAbsent(address, readEngine(address))));
         return all(calls);
     }
 
@@ -250,7 +253,7 @@
                 size = reading.state().groupSize();
             }
         }
-        reportLoads(readings);
+        report(readings);
         List<RankView> views = GroupReadings.views(readings, size);
         if (views.isEmpty() || !GroupReadings.sameFormation(views)) {
             return;
@@ -267,7 +270,7 @@
         }
         if (views.get(0).epoch() != epoch) {
             epoch = views.get(0).epoch();
-            lastCounts = null;
+            lastCounts = Map.of();
             cleared = false;
         }
         if (!placementKnown) {
@@ -283,21 +286,18 @@
 
     private void considerMap(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
         MapPolicy policy = environment.policies().get();
-        long[] counts = GroupReadings.totals(readings);
-        long[] before = lastCounts;
+        Map<Integer, long[]> counts = GroupReadings.counts(readings);
+        long[] choices = GroupReadings.increase(lastCounts, counts);
         lastCounts = counts;
         if (policy == null) {
             return;
         }
         // The demand from before a group was formed anew is the best guess for its first map.
-        if (before != null && before.length == counts.length) {
-            long[] choices = new long[counts.length];
-            for (int i = 0; i < counts.length; i++) {
-                choices[i] = Math.max(0, counts[i] - before[i]);
-            }
+        if (choices.length > 0) {
             policy.onChoices(choices);
         }
-        int[][][] planned = policy.plan(present);
+        double[] slowdowns = GroupReadings.slowdowns(readings, views.size());
+        int[][][] planned = policy.plan(present, slowdowns);
         if (planned != null) {
             long version = nextVersion();
             Events.log(
@@ -308,9 +308,9 @@
                     "version",
                     version,
                     "imbalance",
-                    policy.imbalance(present),
+                    policy.imbalance(present, slowdowns),
                     "planned",
-                    policy.imbalance(planned));
+                    policy.imbalance(planned, slowdowns));
             rollout = MapRollout.begin(
                     LIMITS, views, version, views.size() - 1, planned, present, time.monotonicMillis());
         }
@@ -335,7 +335,7 @@
                     readings.put(reading.state().view().rank(), reading);
                 }
             }
-            reportLoads(readings);
+            report(readings);
             List<RankView> views = GroupReadings.views(readings, ranks.size());
             if (views.isEmpty()) {
                 return onUnreadable(open);
@@ -384,7 +384,7 @@
             return CompletableFuture.completedFuture(false);
         }
         if (rank.agentIp().isEmpty()) {
-            return bounded(agent.order(new RankCall.Order(term, order)).thenApply(RankCall.OrderReply::taken));
+            return bounded(order, agent.order(new RankCall.Order(term, order)).thenApply(RankCall.OrderReply::taken));
         }
         MapRollout open = rollout;
         boolean closes = order.action() != RankOrder.Action.ARM && order.action() != RankOrder.Action.HOLD;
@@ -393,7 +393,7 @@
         Supplier<CompletableFuture<Boolean>> direct =
                 () -> environment.engineAt().apply(rank.engine()).give(order);
         if (mayPassBy && isSilent(rank)) {
-            return bounded(direct.get());
+            return bounded(order, direct.get());
         }
         CompletableFuture<Boolean> byAgent = http.call(
                         rank.agentIp(),
@@ -401,7 +401,7 @@
                         encode(new RankCall.Order(term, order)),
                         open == null ? CALL_TIMEOUT : callTimeout(open))
                 .thenApply(reply -> onOrderReply(decode(reply, RankCall.OrderReply.class)));
-        return mayPassBy ? orElse(byAgent, direct) : bounded(byAgent);
+        return bounded(order, mayPassBy ? orElse(byAgent, direct) : byAgent);
     }
 
     private boolean onOrderReply(RankCall.OrderReply reply) {
@@ -411,7 +411,7 @@
 
     private CompletableFuture<Answer> readRank(Rank rank, RankCall.Read read, MapRollout open) {
         if (rank.agentIp().isEmpty()) {
-            return orAbsent(agent.read(read).thenApply(reading -> new Answer("", reading)));
+            return orAbsent(rank.engine(), agent.read(read).thenApply(reading -> new Answer("", reading)));
         }
         if (open.mayHold() && isSilent(rank)) {
             return readDirectly(rank);
@@ -425,12 +425,12 @@
     }
 
     private CompletableFuture<Answer> readDirectly(Rank rank) {
-        return orAbsent(environment
-                .engineAt()
-                .apply(rank.engine())
-                .state()
-                .thenApply(state ->
-                        new Answer(rank.agentIp(), new RankCall.Reading(term, rank.engine(), state, null, null))));
+        CompletableFuture<EngineState> state =
+                environment.engineAt().apply(rank.engine()).state();
+        return orAbsent(
+                rank.engine(),
+                state.thenApply(read ->
+                        new Answer(rank.agentIp(), new RankCall.Reading(term, rank.engine(), read, null, null))));
     }
 
     private boolean isSilent(Rank rank) {
@@ -460,20 +460,33 @@
                 });
     }
 
-    private static CompletableFuture<Answer> orAbsent(CompletableFuture<Answer> answer) {
-        return answer.exceptionally(error -> new Answer("", null));
+    private CompletableFuture<Answer> orAbsent(EngineAddress engine, CompletableFuture<Answer> answer) {
+        return answer.exceptionally(error -> {
+            logger.atInfo()
+                    .addKeyValue("group", group)
+                    .addKeyValue("engine", engine.ip() + ":" + engine.port())
+                    .addKeyValue("reason", String.valueOf(error.getMessage()))
+                    .log("the engine of a rank cannot be read");
+            return new Answer("", null);
+        });
     }
 
     private static CompletableFuture<Boolean> orElse(
             CompletableFuture<Boolean> first, Supplier<CompletableFuture<Boolean>> second) {
-        return first.handle((taken, error) -> error == null)
-                .thenCompose(answered -> answered ? first : second.get())
-                .exceptionally(error -> false);
+        return first.handle((taken, error) -> error == null).thenCompose(answered -> answered ? first : second.get());
     }
 
     /** An order that gets no answer is given again after the next reading. */
-    private static CompletableFuture<Boolean> bounded(CompletableFuture<Boolean> call) {
-        return call.exceptionally(error -> false);
+    private CompletableFuture<Boolean> bounded(RankOrder order, CompletableFuture<Boolean> call) {
+        return call.exceptionally(error -> {
+            logger.atInfo()
+                    .addKeyValue("group", group)
+                    .addKeyValue("rank", order.rank())
+                    .addKeyValue("order", order.action())
+                    .addKeyValue("reason", String.valueOf(error.getMessage()))
+                    .log("an order got no answer");
+            return false;
+        });
     }
 
     private static <T> CompletableFuture<List<T>> all(List<CompletableFuture<T>> calls) {
@@ -481,20 +494,24 @@
                 .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
     }
 
-    private void reportLoads(Map<Integer, RankCall.Reading> readings) {
+    private void report(Map<Integer, RankCall.Reading> readings) {
         long now = time.monotonicNanos();
         if (now - reportedNanos < READ_INTERVAL.toNanos() * 4 / 5) {
             return;
         }
         reportedNanos = now;
         List<RankLoad> loads = new ArrayList<>();
-        readings.values().forEach(reading -> {
+        Set<EngineAddress> unreachable = new HashSet<>(environment.engines().get());
+        boolean open = true;
+        for (RankCall.Reading reading : readings.values()) {
             EngineState state = reading.state();
             if (state != null) {
                 loads.add(new RankLoad(reading.engine(), state));
+                unreachable.remove(reading.engine());
+                open &= state.view().open();
             }
-        });
-        environment.loads().accept(loads);
+        }
+        environment.reports().accept(new GroupReport(group, open, loads, unreachable));
     }
 
     private byte[] encode(Object value) {
--- a/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
@@ -8,7 +8,7 @@
 import firwheel.experts.plan.PlanPrices;
 import firwheel.experts.plan.PlanningInput;
 import firwheel.experts.plan.RankCondition;
-import java.util.Collections;
+import java.util.Arrays;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -67,8 +67,13 @@
         estimate = estimate == null ? LoadEstimate.of(bySet) : estimate.updated(bySet, NEWEST_WEIGHT);
     }
 
-    /** Returns a better placement by set, rank and place, or null where the present one is good enough. */
-    public int @Nullable [][][] plan(int[][][] present) {
+    /**
+     * Returns a better placement by set, rank and place, or null where the present one is good enough.
+     *
+     * @param present placement in force
+     * @param slowdowns time of each rank for a unit of work relative to its usual one; all wait for the slowest
+     */
+    public int @Nullable [][][] plan(int[][][] present, double[] slowdowns) {
         LoadEstimate load = estimate;
         if (load == null) {
             return null;
@@ -79,7 +84,9 @@
         PlanningInput input = new PlanningInput(
                 map,
                 load,
-                Collections.nCopies(ranks, RankCondition.serving(places)),
+                Arrays.stream(slowdowns)
+                        .mapToObj(slowdown -> new RankCondition(RankCondition.State.SERVING, slowdown, places))
+                        .toList(),
                 new PlanPrices(1, LEAST_RELIEF_PER_LOAD * SECONDS_PER_TOKEN * experts / ranks),
                 RELATIVE_COSTS,
                 limits);
@@ -88,15 +95,15 @@
         for (int set = 0; set < sets; set++) {
             placement[set] = withoutGaps(planned.layer(set));
         }
-        double before = slowestShares(present, load);
-        double after = slowestShares(placement, load);
+        double before = slowestShares(present, slowdowns, load);
+        double after = slowestShares(placement, slowdowns, load);
         return after < before * (1 - LEAST_RELIEF) ? placement : null;
     }
 
-    /** Returns how far the most loaded rank of a set is above the mean, over all sets; 1 is even. */
-    public double imbalance(int[][][] placement) {
+    /** Returns how far the slowest rank of a set is above the mean of even and usual ranks, over all sets. */
+    public double imbalance(int[][][] placement, double[] slowdowns) {
         LoadEstimate load = estimate;
-        return load == null ? 1 : slowestShares(placement, load) * placement[0].length / total(load);
+        return load == null ? 1 : slowestShares(placement, slowdowns, load) * slowdowns.length / total(load);
     }
 
     private double total(LoadEstimate load) {
@@ -109,7 +116,7 @@
         return Math.max(total, Double.MIN_NORMAL);
     }
 
-    private double slowestShares(int[][][] placement, LoadEstimate load) {
+    private double slowestShares(int[][][] placement, double[] slowdowns, LoadEstimate load) {
         double sum = 0;
         for (int set = 0; set < sets; set++) {
             double[] tokens = load.layer(set);
@@ -120,12 +127,12 @@
                 }
             }
             double slowest = 0;
-            for (int[] rank : placement[set]) {
+            for (int rank = 0; rank < slowdowns.length; rank++) {
                 double share = 0;
-                for (int expert : rank) {
+                for (int expert : placement[set][rank]) {
                     share += tokens[expert] / copies[expert];
                 }
-                slowest = Math.max(slowest, share);
+                slowest = Math.max(slowest, share * slowdowns[rank]);
             }
             sum += slowest;
         }
@@ -149,7 +156,7 @@
     private static int[][] withoutGaps(int[][] ranks) {
         int[][] dense = new int[ranks.length][];
         for (int rank = 0; rank < ranks.length; rank++) {
-            dense[rank] = java.util.Arrays.stream(ranks[rank])
+            dense[rank] = Arrays.stream(ranks[rank])
                     .filter(expert -> expert != ExpertMap.EMPTY)
                     .toArray();
         }
--- a/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
@@ -21,6 +21,7 @@
     private final ObjectMapper mapper = RankCall.mapper();
     private long term;
     private long heardNanos;
+    private boolean heard;
 
     /** Creates an agent for the engine at {@code address}. */
     public RankAgent(Engine engine, EngineAddress address, TimeSource time) {
@@ -51,6 +52,11 @@
         return Duration.ofNanos(time.monotonicNanos() - heardNanos);
     }
 
+    /** Returns whether a controller was heard since the start. */
+    boolean heardController() {
+        return heard;
+    }
+
     /** Starts to wait anew, for instance after a lost election. */
     void resetSilence() {
         heardNanos = time.monotonicNanos();
@@ -83,6 +89,7 @@
             return false;
         }
         term = offered;
+        heard = true;
         heardNanos = time.monotonicNanos();
         return true;
     }
--- a/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
+++ b/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
@@ -111,7 +111,7 @@
         pass();
         RankView view = new RankView(
                 rank, epoch, true, step, map[rank], prepared[rank], armed[rank], armedStep[rank], held[rank]);
-        return new EngineState(7, "g", map.length, view, 1, 2, 3);
+        return new EngineState(7, "g", map.length, view, 1, 2, 3, 1);
     }
 
     /** The first rank's experts are chosen ten times as often as all others. */
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -77,7 +77,7 @@
                         () -> others,
                         other -> group.engine(other.port() - FIRST_ENGINE_PORT),
                         () -> policies.get(rank),
-                        loads::addAll,
+                        report -> loads.addAll(report.loads()),
                         () -> engines));
         servers.add(http.listen(ip(rank)).join());
         vertx.getOrCreateContext().runOnContext(ignored -> controller.start());
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -32,8 +32,9 @@
      * @param port port of the target
      * @param startedMillis Unix time of its start
      * @param busy requests that it computes or queues
+     * @param slowdown its time for a unit of work relative to its usual one
      */
-    record TargetLoad(String ip, int port, long startedMillis, int busy) {}
+    record TargetLoad(String ip, int port, long startedMillis, int busy, double slowdown) {}
 
     /**
      * Loads of the targets of one group, read on their own hosts at about the same time.
@@ -41,6 +42,11 @@
      * @param group name of the group
      * @param open whether the group computes; otherwise a rank is missing
      * @param targets the ranks that could be read
+     * @param unreachable ranks that could not be read by any way
      */
-    record GroupLoad(String group, boolean open, List<TargetLoad> targets) implements MeshMessage {}
+    record GroupLoad(String group, boolean open, List<TargetLoad> targets, List<TargetAddress> unreachable)
+            implements MeshMessage {}
+
+    /** IP number and port of a target. */
+    record TargetAddress(String ip, int port) {}
 }
--- a/wire/src/main/java/firwheel/wire/MessageCodec.java
+++ b/wire/src/main/java/firwheel/wire/MessageCodec.java
@@ -32,6 +32,7 @@
         mapper.configOverride(AttemptId.class).setFormat(asArray);
         mapper.configOverride(MeshMessage.Member.class).setFormat(asArray);
         mapper.configOverride(MeshMessage.TargetLoad.class).setFormat(asArray);
+        mapper.configOverride(MeshMessage.TargetAddress.class).setFormat(asArray);
     }
 
     /** Encodes a message without its length prefix. */
