--- a/proxy/src/main/java/firwheel/proxy/server/ProxyMetrics.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyMetrics.java
@@ -1,8 +1,11 @@
 package firwheel.proxy.server;
 
 import firwheel.model.ResultCode;
+import firwheel.proxy.targets.TargetDirectory;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
@@ -47,6 +50,19 @@
         return registry;
     }
 
+    void register(TargetConnections connections, TargetDirectory directory) {
+        CounterWithCallback.builder()
+                .name("firwheel_target_connections_opened")
+                .help("Connections opened to targets.")
+                .callback(callback -> callback.call((double) connections.opened()))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("firwheel_targets_known")
+                .help("Targets in the registry, those that leave included.")
+                .callback(callback -> callback.call(directory.all().size()))
+                .register(registry);
+    }
+
     void countAnswer(String kind, String outcome) {
         answers.labelValues(kind, outcome).inc();
     }
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -107,6 +107,11 @@
         return state.metrics;
     }
 
+    /** Adds to the metrics what is counted elsewhere. */
+    public void registerMetrics() {
+        state.metrics.register(state.connections, state.directory);
+    }
+
     /** Takes a report of a target's load. */
     public void onTargetLoad(String ip, int port, long startedMillis, int busy, double slowdown) {
         Target target = state.directory.findByAddress(ip, port);
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -41,13 +41,15 @@
      * @param policies returns the policy for a group, once its figures are known
      * @param reports takes what each reading of the group found
      * @param engines returns the engines that the last controller reported, for ranks whose agent does not answer
+     * @param metrics counts what the controller does
      */
     public record Environment(
             Supplier<List<String>> agentIps,
             Function<EngineAddress, Engine> engineAt,
             Supplier<@Nullable MapPolicy> policies,
             Consumer<GroupReport> reports,
-            Supplier<Set<EngineAddress>> engines) {}
+            Supplier<Set<EngineAddress>> engines,
+            MapMetrics metrics) {}
 
     /** State of a rank's engine. */
     public record RankLoad(EngineAddress engine, EngineState state) {}
@@ -159,6 +161,7 @@
     /** Waits for a controller to be heard, and stands for election when none is. */
     private CompletableFuture<Void> follow() {
         if (term > 0) {
+            environment.metrics().setControlling(false);
             Events.log(logger, EventCode.LEASE_RELEASED, "group", group, "term", term, "newerTerm", agent.term());
             term = 0;
             rollout = null;
@@ -194,6 +197,7 @@
                 if (policy != null) {
                     policy.reset();
                 }
+                environment.metrics().setControlling(true);
                 Events.log(logger, EventCode.LEASE_ACQUIRED, "group", group, "term", won);
             }
         });
@@ -297,6 +301,7 @@
             policy.onChoices(choices);
         }
         double[] slowdowns = GroupReadings.slowdowns(readings, views.size());
+        environment.metrics().setMap(presentVersion, epoch, policy.imbalance(present, slowdowns));
         int[][][] planned = policy.plan(present, slowdowns);
         if (planned != null) {
             long version = nextVersion();
@@ -359,6 +364,7 @@
         if (open.finished()) {
             boolean switched = open.phase() == MapRollout.Phase.DONE;
             if (cleared || switched) {
+                environment.metrics().countRollout(switched);
                 Events.log(
                         logger,
                         switched ? EventCode.MAP_COMMITTED : EventCode.MAP_ABORTED,
--- /dev/null
+++ b/rebalance/src/main/java/firwheel/rebalance/MapMetrics.java
@@ -0,0 +1,50 @@
+package firwheel.rebalance;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** What an agent counts of its group's expert maps; only the controller's values of the map move. */
+public final class MapMetrics {
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Gauge controlling = Gauge.builder()
+            .name("firwheel_map_controlling")
+            .help("1 on the agent that controls the map of its group, else 0.")
+            .register(registry);
+    private final Gauge version = Gauge.builder()
+            .name("firwheel_map_version")
+            .help("Version of the expert map in force.")
+            .register(registry);
+    private final Gauge formation = Gauge.builder()
+            .name("firwheel_map_group_epoch")
+            .help("Number of the group's present formation.")
+            .register(registry);
+    private final Gauge imbalance = Gauge.builder()
+            .name("firwheel_map_imbalance")
+            .help("Work of the most loaded rank over the mean, by the demand measured last; 1 is even.")
+            .register(registry);
+    private final Counter rollouts = Counter.builder()
+            .name("firwheel_map_rollouts")
+            .help("Maps that were rolled out, by outcome.")
+            .labelNames("outcome")
+            .register(registry);
+
+    /** Returns the registry that holds the metrics. */
+    public PrometheusRegistry registry() {
+        return registry;
+    }
+
+    void setControlling(boolean controls) {
+        controlling.set(controls ? 1 : 0);
+    }
+
+    void setMap(long mapVersion, long epoch, double measuredImbalance) {
+        version.set((double) mapVersion);
+        formation.set((double) epoch);
+        imbalance.set(measuredImbalance);
+    }
+
+    void countRollout(boolean switched) {
+        rollouts.labelValues(switched ? "switched" : "called-off").inc();
+    }
+}
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -78,7 +78,8 @@
                         other -> group.engine(other.port() - FIRST_ENGINE_PORT),
                         () -> policies.get(rank),
                         report -> loads.addAll(report.loads()),
-                        () -> engines));
+                        () -> engines,
+                        new MapMetrics()));
         servers.add(http.listen(ip(rank)).join());
         vertx.getOrCreateContext().runOnContext(ignored -> controller.start());
     }
