firwheel explain: the story of a request from the logs of several processes

Cause: operators look for the lines of one id in the logs of all entries by hand. Change: the command prints the lines of a request in the order of time, with starts and drains near it of the processes that took part; it says so when nothing is found, and counts lines that cannot be read. Ruled out: a service that collects logs (no machine is set aside for that).

--- a/cli/src/main/java/firwheel/cli/Commands.java
+++ b/cli/src/main/java/firwheel/cli/Commands.java
@@ -35,6 +35,7 @@
             new Entry("stand-in", "Runs a stand-in: platform, engine or service.", StandInCommand::new),
             new Entry("check-settings", "Checks a settings file.", CheckSettingsCommand::new),
             new Entry("load", "Offers load to entries and checks every answer.", LoadCommand::new),
+            new Entry("explain", "Prints the story of a request from logs.", ExplainCommand::new),
             new Entry("bench", "Measures slopes and writes the capacity tables.", BenchCommand::new),
             new Entry("version", "Prints the version.", VersionCommand::new));
 
--- a/cli/src/main/java/firwheel/cli/ExitCode.java
+++ b/cli/src/main/java/firwheel/cli/ExitCode.java
@@ -23,8 +23,14 @@
     /** Returns the exit code for a failure. */
     static ExitCode of(ResultCode code) {
         return switch (code) {
-            case BAD_SETTINGS, BAD_USAGE, TABLE_SYNTAX, TABLE_FIELD, TABLE_DUPLICATE, TABLE_RANKS, TABLE_EMPTY_MODEL ->
-                BAD_INPUT;
+            case BAD_SETTINGS,
+                    BAD_USAGE,
+                    FILE_UNREADABLE,
+                    TABLE_SYNTAX,
+                    TABLE_FIELD,
+                    TABLE_DUPLICATE,
+                    TABLE_RANKS,
+                    TABLE_EMPTY_MODEL -> BAD_INPUT;
             case TABLE_CONFLICT, TABLE_BASE_UNKNOWN -> CONFLICT;
             case PLATFORM_UNREACHABLE, PLATFORM_RATE_LIMITED, PLATFORM_UNKNOWN -> PLATFORM_UNREACHABLE;
             default -> FAILED;
--- a/cli/src/test/java/firwheel/cli/CommandLineTest.java
+++ b/cli/src/test/java/firwheel/cli/CommandLineTest.java
@@ -89,6 +89,8 @@
                     "demo --entry-port many; --entry-port",
                     "stand-in moon; name platform, engine or service",
                     "check-settings /no/such/file; /no/such/file cannot be read",
+                    "explain /no/such/file; --request",
+                    "explain --request a1 /no/such/file; cannot read /no/such/file",
                 })
         void exitsWith2AndSaysWhatToDo(String line, String expected) {
             assertThat(run(line.split(" "))).isEqualTo(ExitCode.BAD_INPUT);
--- a/model/src/main/java/firwheel/model/ResultCode.java
+++ b/model/src/main/java/firwheel/model/ResultCode.java
@@ -84,7 +84,9 @@
 
     BAD_SETTINGS(9001, Outcome.NOT_RUN, 400, "The settings are invalid.", "Correct the listed paths."),
     BAD_USAGE(9002, Outcome.NOT_RUN, 400, "The command line is invalid.", "See --help."),
-    CANNOT_LISTEN(9003, Outcome.NOT_RUN, 503, "The address cannot be listened on.", "Check IP number and port.");
+    CANNOT_LISTEN(9003, Outcome.NOT_RUN, 503, "The address cannot be listened on.", "Check IP number and port."),
+    FILE_UNREADABLE(9004, Outcome.NOT_RUN, 400, "A file cannot be read.", "Check its name and rights."),
+    NOTHING_FOUND(9005, Outcome.NOT_RUN, 404, "Nothing matches.", "Check the id, and that all logs are named.");
 
     private final int number;
     private final Outcome outcome;
