Split the life of a request: attempt at a target, timing, log lines, decisions

Cause: RequestRun had 560 lines, half of them an inner class that decided and kept accounts at once. Change: TargetAttempt tells what a target did, RequestRun decides what follows, RequestLog writes the lines, AnswerTiming measures. Ruled out: nothing else changes; PlatformEntryTest (21) passes as before.

--- a/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
@@ -1,12 +1,10 @@
 package firwheel.proxy.server;
 
-import firwheel.model.EventCode;
-import firwheel.model.Events;
+import firwheel.model.Outcome;
 import firwheel.model.ResultCode;
 import firwheel.proxy.attempt.EventSplitter;
 import firwheel.proxy.attempt.ExecutionLedger;
 import firwheel.proxy.balance.ReturnTimes.Reason;
-import firwheel.proxy.balance.TargetLoad;
 import firwheel.proxy.config.Organisation;
 import firwheel.proxy.config.RequestKind;
 import firwheel.proxy.config.Route;
@@ -20,23 +18,16 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * The life of one request in an entry: choose a target, send, pass the answer on, and go to another target where the
  * first failed and the request may run there. All methods run on the entry's event loop.
  */
-final class RequestRun {
-    private static final long STREAM_SILENCE_MILLIS =
-            1_700; // above the 1.5 s for which a group waits for a lost rank, below the callers' 2 s
-    private static final long MIN_SILENCE_MILLIS = 250; // several times the time of a plain request
-    private static final int MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024; // answers are kept in memory until whole
+final class RequestRun implements TargetAttempt.Listener {
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final int HTTP_OK = 200;
     private static final int FIRST_SERVER_ERROR = 500;
-    private static final Logger logger = LoggerFactory.getLogger(RequestRun.class);
 
     private final ProxyState state;
     private final HttpServerRequest request;
@@ -44,6 +35,8 @@
     private final CallerAnswer answer;
     private final Consumer<RequestRun> onEnd;
     private final long arrivedNanos;
+    private final RequestLog log;
+    private final AnswerTiming timing = new AnswerTiming();
     private final ExecutionLedger ledger = new ExecutionLedger();
     private final Set<Target.Key> tried = new HashSet<>();
     private Buffer body = Buffer.buffer();
@@ -52,11 +45,8 @@
     private String service = "";
     private long endNanos;
     private long timer = -1;
-    private @Nullable Attempt current;
+    private @Nullable TargetAttempt current;
     private @Nullable String lastEventId;
-    private long firstByteMillis = -1;
-    private long lastPieceMillis;
-    private long longestPauseMillis;
     private boolean finished;
     private boolean ended;
 
@@ -67,6 +57,7 @@
         this.onEnd = onEnd;
         arrivedNanos = state.time.monotonicNanos();
         lastEventId = incoming.lastEventId();
+        log = new RequestLog(incoming.attemptId(), ledger::sends, this::configVersion, this::elapsedMillis);
         answer = new CallerAnswer(request, state.draining(), this::end);
     }
 
@@ -107,7 +98,7 @@
         }
         finish("caller left");
         end();
-        Attempt running = current;
+        TargetAttempt running = current;
         if (running != null && !(route != null && route.kind() == RequestKind.AT_MOST_ONCE)) {
             running.cancel();
         }
@@ -119,25 +110,7 @@
             return;
         }
         state.metrics.countRefusal(refusal.code());
-        Events.log(
-                logger,
-                EventCode.REQUEST_REFUSED,
-                "request",
-                incoming.attemptId(),
-                "code",
-                refusal.code().label(),
-                "status",
-                refusal.status(),
-                "detail",
-                refusal.detail(),
-                "sends",
-                ledger.sends(),
-                "config",
-                configVersion(),
-                "afterMillis",
-                elapsedMillis(),
-                "retryAfterMillis",
-                refusal.retryAfter().toMillis());
+        log.refused(refusal);
         finish("refused");
         answer.refuse(refusal);
     }
@@ -175,11 +148,7 @@
     private void onConnectFailed(Route to, Target target, Throwable cause) {
         state.placement.load(target).onUnreachable(state.time.monotonicNanos());
         tried.add(target.key());
-        logger.atInfo()
-                .addKeyValue("request", incoming.attemptId())
-                .addKeyValue("target", target.instanceId())
-                .addKeyValue("reason", cause.getMessage())
-                .log("target could not be reached");
+        log.targetNotReached(target, cause);
         if (!finished) {
             dispatch(to);
         }
@@ -196,14 +165,17 @@
             return;
         }
         tried.add(lent.target().key());
-        Attempt attempt = new Attempt(to, lent);
+        TargetAttempt attempt = new TargetAttempt(state, to, lent, incoming.attemptId(), ledger, this);
         current = attempt;
-        attempt.send();
+        long remainingMillis = Math.max(1, (endNanos - state.time.monotonicNanos()) / NANOS_PER_MILLI);
+        String organisationName = organisation == null ? null : organisation.name();
+        attempt.send(request, new Dispatch(lent.target(), organisationName, remainingMillis, lastEventId), body);
     }
 
     /** Goes to another target where the request may run there; returns false where it may not. */
-    private boolean sendAgain(Route to, String reason) {
-        if (finished || !ledger.maySend(to.repeatable(), to.maxAttempts())) {
+    private boolean sendAgain(String reason) {
+        Route to = route;
+        if (to == null || finished || !ledger.maySend(to.repeatable(), to.maxAttempts())) {
             return false;
         }
         if (state.placement.choose(service, tried) == null
@@ -211,60 +183,26 @@
             return false;
         }
         state.metrics.countRepeat(reason);
-        Events.log(
-                logger,
-                EventCode.REQUEST_REPEATED,
-                "request",
-                incoming.attemptId(),
-                "reason",
-                reason,
-                "sends",
-                ledger.sends(),
-                "afterMillis",
-                elapsedMillis());
+        log.repeated(reason);
         dispatch(to);
         return true;
     }
 
-    private void logCompletion(int status, Target target) {
-        Events.log(
-                logger,
-                EventCode.REQUEST_COMPLETED,
-                "request",
-                incoming.attemptId(),
-                "service",
-                service,
-                "target",
-                target.instanceId(),
-                "status",
-                status,
-                "sends",
-                ledger.sends(),
-                "config",
-                configVersion(),
-                "firstByteMillis",
-                firstByteMillis,
-                "longestPauseMillis",
-                longestPauseMillis,
-                "afterMillis",
-                elapsedMillis());
-    }
-
     /** Ends the request without an answer of a target. */
     private void fail(ResultCode code, String detail, Reason reason) {
         if (finished) {
             return;
         }
         if (answer.started()) {
-            logFailure(code, detail);
+            log.failed(code, detail);
             finish("broken");
             answer.abort();
         } else if (ledger.provenNotRun()) {
-            ResultCode refusal = code.outcome() == firwheel.model.Outcome.NOT_RUN ? code : ResultCode.TARGET_REFUSED;
+            ResultCode refusal = code.outcome() == Outcome.NOT_RUN ? code : ResultCode.TARGET_REFUSED;
             refuse(Refusal.of(refusal, detail, returnAfter(reason)));
         } else {
-            ResultCode failure = code.outcome() == firwheel.model.Outcome.NOT_RUN ? ResultCode.OUTCOME_UNKNOWN : code;
-            logFailure(failure, detail);
+            ResultCode failure = code.outcome() == Outcome.NOT_RUN ? ResultCode.OUTCOME_UNKNOWN : code;
+            log.failed(failure, detail);
             refuse(Refusal.of(failure, detail, Duration.ZERO));
         }
     }
@@ -278,28 +216,12 @@
         return state.returnTimes.after(reason, Duration.ofMillis(deadlineMillis - elapsedMillis()));
     }
 
-    private void logFailure(ResultCode code, String detail) {
-        Events.log(
-                logger,
-                EventCode.REQUEST_FAILED,
-                "request",
-                incoming.attemptId(),
-                "code",
-                code.label(),
-                "detail",
-                detail,
-                "sends",
-                ledger.sends(),
-                "afterMillis",
-                elapsedMillis());
-    }
-
     private void onTimeout() {
         timer = -1;
         if (finished) {
             return;
         }
-        Attempt running = current;
+        TargetAttempt running = current;
         fail(ResultCode.DEADLINE_PASSED, "no whole answer in " + elapsedMillis() + " ms", Reason.TARGETS_FULL);
         if (running != null) {
             running.cancel();
@@ -312,20 +234,16 @@
         }
         recordPiece();
         finish(head.success() ? "complete" : "target-failure");
-        logCompletion(head.status(), target);
+        log.completed(service, target, head.status(), timing);
         answer.sendWhole(head, whole);
     }
 
     /** Measures the time to the first piece of the answer and the pauses between the others. */
     private void recordPiece() {
         long nowMillis = elapsedMillis();
-        if (firstByteMillis < 0) {
-            firstByteMillis = nowMillis;
+        if (timing.onPiece(nowMillis)) {
             state.metrics.recordFirstByte(kindLabel(), nowMillis / MILLIS_PER_SECOND);
-        } else {
-            longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastPieceMillis);
         }
-        lastPieceMillis = nowMillis;
     }
 
     private String kindLabel() {
@@ -356,240 +274,89 @@
         return (state.time.monotonicNanos() - arrivedNanos) / NANOS_PER_MILLI;
     }
 
-    /** One send of the request to one target. */
-    private final class Attempt implements TargetExchange.Listener {
-        private final Route to;
-        private final Target target;
-        private final TargetLoad load;
-        private final TargetExchange exchange;
-        private final EventSplitter splitter = new EventSplitter();
-        private Buffer whole = Buffer.buffer();
-        private @Nullable AnswerHead head;
-        private long sentNanos;
-        private long silenceTimer = -1;
-        private boolean ended;
-
-        Attempt(Route to, TargetConnections.Lent lent) {
-            this.to = to;
-            this.target = lent.target();
-            load = state.placement.load(target);
-            exchange = new TargetExchange(state.connections, lent, state.protocol, incoming.attemptId(), this);
-        }
-
-        void send() {
-            sentNanos = state.time.monotonicNanos();
-            ledger.sent();
-            load.onSend();
-            long remainingMillis = Math.max(1, (endNanos - sentNanos) / NANOS_PER_MILLI);
-            Dispatch dispatch = new Dispatch(
-                    target, organisation == null ? null : organisation.name(), remainingMillis, lastEventId);
-            exchange.send(request.method(), request.uri(), state.protocol.dispatchHeaders(request, dispatch), body);
-            watchSilence();
-        }
-
-        void cancel() {
-            if (!ended) {
-                end();
-                exchange.cancel();
-            }
-        }
-
-        @Override
-        public void onHead(AnswerHead received) {
-            load.onHeard(state.time.monotonicNanos());
-            head = received;
-            if (received.statedNotRun()) {
-                ledger.statedNotRun();
-            }
-        }
-
-        @Override
-        public void onBytes(Buffer bytes) {
-            AnswerHead answerHead = head;
-            if (answerHead == null) {
-                return;
-            }
-            load.onHeard(state.time.monotonicNanos());
-            if (to.kind() != RequestKind.STREAM || !isTargetsOwn(answerHead) || !answerHead.success()) {
-                whole.appendBuffer(bytes);
-                if (whole.length() > MAX_WHOLE_ANSWER_BYTES) {
-                    exchange.cancel();
-                    onBroken("answer exceeds " + MAX_WHOLE_ANSWER_BYTES + " bytes");
-                }
-                return;
-            }
-            for (EventSplitter.Event event : splitter.accept(bytes.getBytes())) {
-                passOn(answerHead, event);
-            }
+    @Override
+    public void onEvent(TargetAttempt attempt, AnswerHead head, EventSplitter.Event event) {
+        if (finished) {
+            return;
         }
-
-        @Override
-        public void onEnd() {
-            if (ended) {
-                return;
-            }
-            AnswerHead answerHead = head;
-            end();
-            if (answerHead == null) {
-                return;
-            }
-            if (answerHead.statedNotRun()) {
-                onNotRun(answerHead);
-            } else if (!isTargetsOwn(answerHead)) {
-                load.onFailure(state.time.monotonicNanos());
-                goOnElsewhere("status " + answerHead.status() + " is not signed by target " + target.instanceId());
-            } else if (!answerHead.success()) {
-                onTargetFailure(answerHead);
-            } else if (to.kind() == RequestKind.STREAM) {
-                onStreamEnd();
-            } else {
-                succeed();
-                deliver(target, answerHead, whole);
-            }
+        if (!answer.started()) {
+            answer.startStream(head);
         }
-
-        @Override
-        public void onBroken(String reason) {
-            if (ended) {
-                return;
-            }
-            end();
-            if (head == null) {
-                load.onUnreachable(state.time.monotonicNanos());
-            } else {
-                load.onFailure(state.time.monotonicNanos());
-            }
-            goOnElsewhere("target " + target.instanceId() + ": " + reason);
+        recordPiece();
+        if (event.id() != null) {
+            lastEventId = event.id();
         }
-
-        private boolean isTargetsOwn(AnswerHead answerHead) {
-            return answerHead.sealed() && !answerHead.encoded();
+        if (answer.sendPiece(Buffer.buffer(event.bytes()))) {
+            attempt.pause();
+            answer.onDrained(attempt::resume);
         }
+    }
 
-        private void passOn(AnswerHead answerHead, EventSplitter.Event event) {
-            if (finished) {
-                return;
-            }
-            watchSilence();
-            if (!answer.started()) {
-                load.onSuccess(state.time.monotonicNanos(), sinceSendMillis());
-                answer.startStream(answerHead);
-            }
-            recordPiece();
-            if (event.id() != null) {
-                lastEventId = event.id();
-            }
-            if (answer.sendPiece(Buffer.buffer(event.bytes()))) {
-                exchange.pause();
-                answer.onDrained(exchange::resume);
-            }
+    @Override
+    public void onStreamEnd(TargetAttempt attempt, AnswerHead head) {
+        if (finished) {
+            return;
         }
-
-        private void onStreamEnd() {
-            if (finished) {
-                return;
-            }
-            if (splitter.remainder().length > 0) {
-                load.onFailure(state.time.monotonicNanos());
-                goOnElsewhere("target " + target.instanceId() + " ended within an event");
-                return;
-            }
-            if (!answer.started()) {
-                AnswerHead answerHead = head;
-                if (answerHead != null) {
-                    deliver(target, answerHead, whole);
-                }
-                return;
-            }
-            finish("complete");
-            logCompletion(HTTP_OK, target);
-            answer.endStream();
+        if (!answer.started()) {
+            deliver(attempt.target(), head, Buffer.buffer());
+            return;
         }
+        finish("complete");
+        log.completed(service, attempt.target(), HTTP_OK, timing);
+        answer.endStream();
+    }
 
-        private void onNotRun(AnswerHead answerHead) {
-            if (answerHead.otherInstance()) {
-                load.onUnreachable(state.time.monotonicNanos());
-            }
-            if (!sendAgain(to, "not-run")) {
-                fail(
-                        ResultCode.TARGET_REFUSED,
-                        "target " + target.instanceId() + " refused with status " + answerHead.status(),
-                        state.placement.canChoose(service, Set.of()) ? Reason.TARGETS_FULL : Reason.NO_TARGET_COMPUTES);
-            }
-        }
+    @Override
+    public void onWhole(TargetAttempt attempt, AnswerHead head, Buffer whole) {
+        deliver(attempt.target(), head, whole);
+    }
 
-        private void onTargetFailure(AnswerHead answerHead) {
-            if (answerHead.status() >= FIRST_SERVER_ERROR) {
-                load.onFailure(state.time.monotonicNanos());
-                if (answer.started()) {
-                    goOnElsewhere("target " + target.instanceId() + " failed with status " + answerHead.status());
-                    return;
-                }
-                if (sendAgain(to, "target-failure")) {
-                    return;
-                }
-            }
-            if (answer.started()) {
-                fail(ResultCode.STREAM_BROKEN, "status " + answerHead.status() + " on resuming", Reason.TARGETS_FULL);
-            } else {
-                deliver(target, answerHead, whole);
-            }
+    @Override
+    public void onNotRun(TargetAttempt attempt, AnswerHead head) {
+        if (!sendAgain("not-run")) {
+            fail(
+                    ResultCode.TARGET_REFUSED,
+                    "target " + attempt.target().instanceId() + " refused with status " + head.status(),
+                    state.placement.canChoose(service, Set.of()) ? Reason.TARGETS_FULL : Reason.NO_TARGET_COMPUTES);
         }
+    }
 
-        private void goOnElsewhere(String reason) {
-            if (!sendAgain(to, "broken")) {
-                fail(
-                        answer.started() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN,
-                        reason,
-                        Reason.NO_TARGET_COMPUTES);
+    @Override
+    public void onTargetFailure(TargetAttempt attempt, AnswerHead head, Buffer whole) {
+        boolean mayPass = head.status() < FIRST_SERVER_ERROR;
+        if (answer.started()) {
+            String detail = "target " + attempt.target().instanceId() + " failed with status " + head.status();
+            if (mayPass || !sendAgain("broken")) {
+                fail(ResultCode.STREAM_BROKEN, detail, Reason.TARGETS_FULL);
             }
+        } else if (mayPass || !sendAgain("target-failure")) {
+            deliver(attempt.target(), head, whole);
         }
+    }
 
-        private void succeed() {
-            load.onSuccess(state.time.monotonicNanos(), sinceSendMillis());
-        }
-
-        private double sinceSendMillis() {
-            return (state.time.monotonicNanos() - sentNanos) / (double) NANOS_PER_MILLI;
-        }
-
-        private void watchSilence() {
-            stopWatching();
-            if (!to.repeatable()) {
-                return;
-            }
-            long millis = to.kind() == RequestKind.STREAM
-                    ? STREAM_SILENCE_MILLIS
-                    : Math.max(MIN_SILENCE_MILLIS, to.timeoutMillis() / 2);
-            silenceTimer = state.vertx.setTimer(millis, id -> onSilence());
+    @Override
+    public void onLost(TargetAttempt attempt, String reason) {
+        if (!sendAgain("broken")) {
+            fail(
+                    answer.started() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN,
+                    reason,
+                    Reason.NO_TARGET_COMPUTES);
         }
+    }
 
-        private void onSilence() {
-            silenceTimer = -1;
-            if (ended || finished) {
-                return;
-            }
-            if (to.kind() == RequestKind.STREAM && !state.placement.othersAnswer(service, target)) {
-                watchSilence();
-                return;
-            }
-            load.onUnreachable(state.time.monotonicNanos());
-            if (sendAgain(to, "silence")) {
-                cancel();
-            }
+    @Override
+    public boolean onSilence(TargetAttempt attempt) {
+        if (finished) {
+            return false;
         }
-
-        private void stopWatching() {
-            if (silenceTimer >= 0) {
-                state.vertx.cancelTimer(silenceTimer);
-                silenceTimer = -1;
-            }
+        boolean stream = route != null && route.kind() == RequestKind.STREAM;
+        if (stream && !state.placement.othersAnswer(service, attempt.target())) {
+            return true;
         }
-
-        private void end() {
-            ended = true;
-            load.onEnd();
-            stopWatching();
+        attempt.load().onUnreachable(state.time.monotonicNanos());
+        if (sendAgain("silence")) {
+            attempt.cancel();
         }
+        return false;
     }
 }
