Follow the settings file, with a signal or without one

Cause: SIGHUP was only survived and a changed file never read; both platform commands repeated each other. Change: SettingsWatch looks every 2 s and at SIGHUP; limits of the repeat budget change at once and keep what was counted, other fields are logged as waiting for the next start, an invalid file changes nothing and is reported once. PlatformRunner runs both commands. Ruled out: watching by inotify (the platform replaces the file; a look each 2 s costs nothing that can be measured).

--- /dev/null
+++ b/cli/src/main/java/firwheel/cli/PlatformRunner.java
@@ -0,0 +1,40 @@
+package firwheel.cli;
+
+import firwheel.platform.PlatformProcess;
+import firwheel.platform.PlatformSettings;
+import firwheel.platform.SettingsWatch;
+import firwheel.store.EventLoops;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.File;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+/** Runs a process on the users' platform until a signal arrives, and follows its settings meanwhile. */
+final class PlatformRunner {
+    /** Starts a process on an event loop. */
+    @FunctionalInterface
+    interface Starter {
+        CompletableFuture<? extends PlatformProcess> start(Vertx vertx, PlatformSettings settings);
+    }
+
+    private PlatformRunner() {}
+
+    /** Returns the file that the platform names, for the default of an option. */
+    static File defaultSettings() {
+        return new File(System.getenv().getOrDefault("FIRWHEEL_SETTINGS", ""));
+    }
+
+    static ExitCode run(File file, Starter starter, Function<PlatformSettings, Duration> stopLimit) {
+        PlatformSettings settings = PlatformSettings.read(file.toPath());
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+        PlatformProcess process = EventLoops.start(
+                        vertx, () -> starter.start(vertx, settings).<PlatformProcess>thenApply(started -> started))
+                .join();
+        SettingsWatch watch = new SettingsWatch(file.toPath(), PlatformSettings::read, settings, process::apply);
+        watch.start(vertx);
+        Signals.handle("HUP", watch::look);
+        return Shutdown.awaitSignal(process::stop, () -> {}, stopLimit.apply(settings));
+    }
+}
--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -11,6 +11,8 @@
     PROCESS_DRAINING(102, Severity.INFO, "A process takes no new work and finishes what runs."),
     PROCESS_STOPPED(103, Severity.INFO, "A process has stopped."),
     DRAIN_CUT(104, Severity.ERROR, "The drain limit passed with requests still running."),
+    SETTINGS_CHANGED(105, Severity.INFO, "The settings file has changed; some fields wait for the next start."),
+    SETTINGS_REFUSED(106, Severity.ERROR, "The changed settings file is invalid; the settings in force stay."),
     REQUEST_REFUSED(201, Severity.INFO, "A request was refused; the code says why."),
     REQUEST_FAILED(202, Severity.WARN, "A request failed after it ran, or its outcome is unknown."),
     FOREIGN_FRAME(203, Severity.WARN, "A frame for no attempt of this process was dropped."),
--- a/proxy/src/main/java/firwheel/proxy/balance/RepeatBudget.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/RepeatBudget.java
@@ -13,8 +13,8 @@
     private static final double REQUEST_COUNT_MARGIN = 0.8; // requests near the border of a window may fall outside it
 
     private final TimeSource time;
-    private final double ratio;
-    private final double allowance;
+    private double ratio;
+    private double allowance;
     private final long bucketNanos;
     private final int[] requests = new int[BUCKETS_PER_WINDOW + 1];
     private final int[] repeats = new int[BUCKETS_PER_WINDOW + 1];
@@ -43,6 +43,12 @@
         this.entries = Math.max(1, entries);
     }
 
+    /** Sets new limits; what was counted in the window stays counted. */
+    public void setLimits(double newRatio, double newAllowance) {
+        ratio = newRatio;
+        allowance = newAllowance;
+    }
+
     /** Counts a request. */
     public void onRequest() {
         advance();
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -139,6 +139,11 @@
         state.placement.setEntries(entries);
     }
 
+    /** Gives the budgets for sending again new limits. */
+    public void setRepeatLimits(double ratio, double allowance) {
+        state.setRepeatLimits(ratio, allowance);
+    }
+
     /** Returns whether new connections may come: a configuration is known, targets too, and no drain has begun. */
     public boolean ready() {
         return state.config() != null && !state.directory.all().isEmpty() && !state.draining();
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -80,6 +80,11 @@
         return budgets.computeIfAbsent(service, name -> newBudget.get());
     }
 
+    /** Gives all budgets new limits. */
+    void setRepeatLimits(double ratio, double allowance) {
+        budgets.values().forEach(budget -> budget.setLimits(ratio, allowance));
+    }
+
     /** Tells all budgets how many entries share the allowance. */
     void setEntries(int entries) {
         budgets.values().forEach(budget -> budget.setEntries(entries));
