--- a/cli/src/main/java/firwheel/cli/RequestStory.java
+++ b/cli/src/main/java/firwheel/cli/RequestStory.java
@@ -95,7 +95,7 @@
         text.append(' ').append(line.fields().path("event").asText("-"));
         text.append(' ').append(line.fields().path("message").asText());
         line.fields().fields().forEachRemaining(field -> {
-            if (!SHOWN_FIRST.contains(field.getKey())) {
+            if (!SHOWN_FIRST.contains(field.getKey()) && !LEFT_OUT.contains(field.getKey())) {
                 text.append(' ').append(field.getKey()).append('=');
                 text.append(field.getValue().isValueNode() ? field.getValue().asText() : field.getValue());
             }
--- a/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestRun.java
@@ -109,9 +109,13 @@
         if (finished) {
             return;
         }
-        state.metrics.countRefusal(refusal.code());
         log.refused(refusal);
-        finish("refused");
+        answerAs("refused", refusal);
+    }
+
+    private void answerAs(String outcome, Refusal refusal) {
+        state.metrics.countRefusal(refusal.code());
+        finish(outcome);
         answer.refuse(refusal);
     }
 
@@ -203,7 +207,7 @@
         } else {
             ResultCode failure = code.outcome() == Outcome.NOT_RUN ? ResultCode.OUTCOME_UNKNOWN : code;
             log.failed(failure, detail);
-            refuse(Refusal.of(failure, detail, Duration.ZERO));
+            answerAs("failed", Refusal.of(failure, detail, Duration.ZERO));
         }
     }
 
