--- a/cli/src/main/java/firwheel/cli/RequestStory.java
+++ b/cli/src/main/java/firwheel/cli/RequestStory.java
@@ -19,8 +19,9 @@
     private static final String LIFECYCLE_PREFIX = "EV-1";
 
     private static final Duration NEAR = Duration.ofSeconds(10); // a drain may take as long
-    private static final Set<String> SHOWN_FIRST =
-            Set.of("time", "event", "message", "level", "logger_name", "request");
+    private static final Set<String> SHOWN_FIRST = Set.of("time", "@timestamp", "event", "message", "request");
+    private static final Set<String> LEFT_OUT =
+            Set.of("level", "level_value", "logger_name", "thread_name", "@version"); // same in all lines of an event
 
     private final String request;
     private final ObjectMapper mapper = new ObjectMapper();
--- a/mesh/src/main/java/firwheel/mesh/Membership.java
+++ b/mesh/src/main/java/firwheel/mesh/Membership.java
@@ -59,6 +59,11 @@
         return draw(alive(), count);
     }
 
+    /** Returns up to {@code count} living processes of a role, drawn at random. */
+    public List<Member> sample(String role, int count) {
+        return draw(alive(role), count);
+    }
+
     /** Returns up to {@code count} processes to beat to, those that may be cut off included. */
     public List<Member> beatTargets(int count) {
         members.values().removeIf(known -> ageNanos(known) > KNOWN_FOR.toNanos());
--- a/mesh/src/main/java/firwheel/mesh/Mesh.java
+++ b/mesh/src/main/java/firwheel/mesh/Mesh.java
@@ -33,6 +33,7 @@
     private static final Duration BEAT_INTERVAL =
             Duration.ofSeconds(1); // a change is told at once; beats only repair losses
     private static final int BEAT_FANOUT = 2; // beats reach 400 processes in some nine rounds
+    private static final int NEWS_FANOUT = 5; // if twenty tell, one of thirty misses it by 3 in 100
     private static final int SAMPLED_MEMBERS = 24; // keeps a beat within one packet
     private static final int CODE_BYTES = 16; // half of the hash, as is usual for short messages
     private static final Logger logger = LoggerFactory.getLogger(Mesh.class);
@@ -107,8 +108,12 @@
         members.forEach(member -> sendFrame(member.ip(), frame));
     }
 
-    /** Beats at once, for instance after a change that others wait for. */
-    public void beat() {
+    /** Beats at once and to more processes, after a change that others may not have heard of. */
+    public void tellNews() {
+        send(membership.beatTargets(NEWS_FANOUT), nextBeat());
+    }
+
+    private void beat() {
         send(membership.beatTargets(BEAT_FANOUT), nextBeat());
     }
 
