--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -8,6 +8,7 @@
 import firwheel.proxy.balance.RepeatBudget;
 import firwheel.proxy.config.CallerLimits;
 import firwheel.proxy.config.RoutingConfig;
+import firwheel.proxy.targets.GroupMembership;
 import firwheel.proxy.targets.Target;
 import firwheel.proxy.targets.TargetDirectory;
 import io.vertx.core.Vertx;
@@ -120,10 +121,14 @@
         }
     }
 
-    /** Takes a report that a target cannot be reached from where its group is read. */
-    public void onTargetUnreachable(String ip, int port) {
+    /**
+     * Takes a report that a target cannot be reached from where its group is read. The address may have passed to a
+     * target that is not of the group.
+     */
+    public void onTargetUnreachable(String group, String ip, int port) {
         Target target = state.directory.findByAddress(ip, port);
-        if (target != null) {
+        GroupMembership membership = target == null ? null : target.group();
+        if (target != null && membership != null && membership.name().equals(group)) {
             state.placement.load(target).onReportedUnreachable(state.time.monotonicNanos());
         }
     }
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -257,7 +257,7 @@
                 size = reading.state().groupSize();
             }
         }
-        report(readings);
+        report(readings, environment.engines().get());
         List<RankView> views = GroupReadings.views(readings, size);
         if (views.isEmpty() || !GroupReadings.sameFormation(views)) {
             return;
@@ -340,7 +340,8 @@
                     readings.put(reading.state().view().rank(), reading);
                 }
             }
-            report(readings);
+            // Only while a pass may be held, engines are also read past their agents.
+            report(readings, open.mayHold() ? environment.engines().get() : Set.of());
             List<RankView> views = GroupReadings.views(readings, ranks.size());
             if (views.isEmpty()) {
                 return onUnreadable(open);
@@ -500,14 +501,14 @@
                 .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
     }
 
-    private void report(Map<Integer, RankCall.Reading> readings) {
+    private void report(Map<Integer, RankCall.Reading> readings, Set<EngineAddress> triedDirectly) {
         long now = time.monotonicNanos();
         if (now - reportedNanos < READ_INTERVAL.toNanos() * 4 / 5) {
             return;
         }
         reportedNanos = now;
         List<RankLoad> loads = new ArrayList<>();
-        Set<EngineAddress> unreachable = new HashSet<>(environment.engines().get());
+        Set<EngineAddress> unreachable = new HashSet<>(triedDirectly);
         boolean open = true;
         for (RankCall.Reading reading : readings.values()) {
             EngineState state = reading.state();
