One log line for each reading of a group, with its outcome

Cause: when a controller could not read all ranks, or the ranks disagreed, it did nothing and logged nothing about it, so the logs of the grown sites could not tell a narrow link from a blocked event loop or a slow rank. MAP_PLANNED has the time that planning took. Metrics firwheel_map_readings_total and firwheel_map_read_seconds.

--- a/mesh/src/main/java/firwheel/mesh/AuthenticatedHttp.java
+++ b/mesh/src/main/java/firwheel/mesh/AuthenticatedHttp.java
@@ -45,6 +45,8 @@
     private final int port;
     private final HttpClient client;
     private final Map<String, Function<byte[], CompletableFuture<byte[]>>> handlers = new HashMap<>();
+    private long bytesSent;
+    private long bytesReceived;
 
     /** Creates a client and server; all processes use the same {@code port}. */
     public AuthenticatedHttp(Vertx vertx, SharedKey key, int port) {
@@ -59,6 +61,16 @@
         handlers.put(path, handler);
     }
 
+    /** Returns how many bytes of content were sent with calls and replies, without headers. */
+    public long bytesSent() {
+        return bytesSent;
+    }
+
+    /** Returns how many bytes of content were received with calls and replies, without headers. */
+    public long bytesReceived() {
+        return bytesReceived;
+    }
+
     /** Starts listening for calls. */
     public CompletableFuture<HttpServer> listen(String ip) {
         return vertx.createHttpServer()
@@ -78,6 +90,7 @@
                 .setIdleTimeout(timeout.toMillis());
         Future<byte[]> reply = client.request(options).compose(request -> {
             request.putHeader(MAC_HEADER, computeMac(path, content));
+            bytesSent += content.length;
             return request.send(Buffer.buffer(content)).compose(response -> response.body()
                     .map(body ->
                             verifyReply(path, response.statusCode(), body.getBytes(), response.getHeader(MAC_HEADER))));
@@ -87,6 +100,7 @@
 
     private void handle(HttpServerRequest request, byte[] content) {
         String path = request.path();
+        bytesReceived += content.length;
         if (!computeMac(path, content).equals(request.getHeader(MAC_HEADER))) {
             Events.log(
                     logger,
@@ -117,6 +131,7 @@
     }
 
     private void respond(HttpServerRequest request, int status, byte[] reply) {
+        bytesSent += reply.length;
         var unused = request.response()
                 .setStatusCode(status)
                 .putHeader(MAC_HEADER, computeMac(request.path(), reply))
@@ -124,6 +139,7 @@
     }
 
     private byte[] verifyReply(String path, int status, byte[] reply, @Nullable String mac) {
+        bytesReceived += reply.length;
         if (status != OK || !computeMac(path, reply).equals(mac)) {
             throw new FirwheelException(ResultCode.LINK_LOST, "no valid reply to " + path + ", status " + status);
         }
--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -35,7 +35,8 @@
     MAP_COMMITTED(601, Severity.INFO, "A group switched to a new expert map."),
     MAP_ABORTED(602, Severity.WARN, "A proposed expert map was aborted."),
     PLAN_SKIPPED(603, Severity.INFO, "A planning round changed nothing; the reason is in the event."),
-    MAP_PLANNED(604, Severity.INFO, "A better expert map was planned and is rolled out.");
+    MAP_PLANNED(604, Severity.INFO, "A better expert map was planned and is rolled out."),
+    GROUP_READ(605, Severity.INFO, "A controller read the ranks of its group; the outcome says what follows.");
 
     /** Severity of an event. The names are those of the SLF4J log levels. */
     public enum Severity {
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -97,6 +97,7 @@
     private final AuthenticatedHttp http;
     private final ControllerElection election;
     private final Environment environment;
+    private final ReadingLog readingLog;
     private final Map<Integer, RankRoute> ranks = new TreeMap<>();
     private String group = "";
     private long term;
@@ -135,6 +136,7 @@
         this.http = http;
         this.election = election;
         this.environment = environment;
+        readingLog = new ReadingLog(time, http, environment.metrics());
     }
 
     /** Starts the controller, which runs until the process ends. */
@@ -210,13 +212,17 @@
 
     /** Reads all ranks and starts a rollout if one is needed. */
     private CompletableFuture<Void> readAndPlan() {
+        long startedNanos = time.monotonicNanos();
         List<CompletableFuture<RankReading>> calls = new ArrayList<>();
         RankCall.Read read = new RankCall.Read(term, true, !placementKnown);
         for (String ip : environment.agentIps().get()) {
             calls.add(readAgent(ip, read, CALL_TIMEOUT));
         }
         calls.add(agent.read(read).thenApply(reading -> new RankReading("", reading)));
-        return allOf(calls).thenCompose(this::withUnreadEngines).thenAccept(this::onGroupRead);
+        int agents = calls.size();
+        return allOf(calls)
+                .thenCompose(this::withUnreadEngines)
+                .thenAccept(answers -> onGroupRead(answers, agents, startedNanos));
     }
 
     /** Adds direct readings of the known engines whose agent did not respond. */
@@ -243,7 +249,7 @@
                                 new RankReading(NO_AGENT_IP, new RankCall.Reading(term, address, state, null, placed)));
     }
 
-    private void onGroupRead(List<RankReading> answers) {
+    private void onGroupRead(List<RankReading> answers, int agents, long startedNanos) {
         Map<Integer, RankCall.Reading> readings = new HashMap<>();
         int size = 0;
         for (RankReading answer : answers) {
@@ -258,9 +264,17 @@
             }
         }
         report(readings, environment.knownEngines().get());
+        ReadingLog.Reading read = new ReadingLog.Reading(group, term, agents, readings.size(), size, startedNanos);
+        readingLog.record(read, evaluate(readings, size));
+    }
+
+    private ReadingLog.Outcome evaluate(Map<Integer, RankCall.Reading> readings, int size) {
         List<RankView> views = GroupReadings.views(readings, size);
-        if (views.isEmpty() || !GroupReadings.areInSameEpochWithSameMap(views)) {
-            return;
+        if (views.isEmpty()) {
+            return ReadingLog.Outcome.INCOMPLETE;
+        }
+        if (!GroupReadings.areInSameEpochWithSameMap(views)) {
+            return ReadingLog.Outcome.RANKS_DISAGREE;
         }
         long previousVersion = currentVersion;
         currentVersion = views.get(0).mapVersion();
@@ -278,24 +292,24 @@
             takeoverComplete = false;
         }
         if (!placementKnown) {
-            return;
+            return ReadingLog.Outcome.PLACEMENT_UNKNOWN;
         }
         if (!takeoverComplete || views.stream().anyMatch(RankView::isHolding)) {
             takeoverComplete = false;
             rollout =
                     MapRollout.takeOver(ROLLOUT_LIMITS, views, nextVersion(), currentPlacement, time.monotonicMillis());
-            return;
+            return ReadingLog.Outcome.TAKEOVER;
         }
-        planMap(readings, views);
+        return planMap(readings, views);
     }
 
-    private void planMap(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
+    private ReadingLog.Outcome planMap(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
         MapPolicy policy = environment.policy().get();
         Map<Integer, long[]> counts = GroupReadings.counts(readings);
         long[] selections = GroupReadings.countIncrease(lastCounts, counts);
         lastCounts = counts;
         if (policy == null) {
-            return;
+            return ReadingLog.Outcome.NO_POLICY;
         }
         // After the group was formed again, the load measured before it is the best estimate for its first map.
         if (selections.length > 0) {
@@ -304,29 +318,28 @@
         double[] slowdowns = GroupReadings.slowdowns(readings, views.size());
         double imbalance = policy.imbalance(currentPlacement, slowdowns);
         environment.metrics().setMap(currentVersion, epoch, imbalance);
+        long planStartedMillis = time.monotonicMillis();
         int[][][] planned = policy.plan(currentPlacement, slowdowns);
-        if (planned != null) {
-            long version = nextVersion();
-            Events.log(
-                    logger,
-                    EventCode.MAP_PLANNED,
-                    "group",
-                    group,
-                    "version",
-                    version,
-                    "imbalance",
-                    imbalance,
-                    "planned",
-                    policy.imbalance(planned, slowdowns));
-            rollout = MapRollout.start(
-                    ROLLOUT_LIMITS,
-                    views,
-                    version,
-                    views.size() - 1,
-                    planned,
-                    currentPlacement,
-                    time.monotonicMillis());
+        if (planned == null) {
+            return ReadingLog.Outcome.MAP_KEPT;
         }
+        long version = nextVersion();
+        Events.log(
+                logger,
+                EventCode.MAP_PLANNED,
+                "group",
+                group,
+                "version",
+                version,
+                "imbalance",
+                imbalance,
+                "planned",
+                policy.imbalance(planned, slowdowns),
+                "planMillis",
+                time.monotonicMillis() - planStartedMillis);
+        rollout = MapRollout.start(
+                ROLLOUT_LIMITS, views, version, views.size() - 1, planned, currentPlacement, time.monotonicMillis());
+        return ReadingLog.Outcome.MAP_PLANNED;
     }
 
     /**
--- a/rebalance/src/main/java/firwheel/rebalance/MapMetrics.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapMetrics.java
@@ -29,6 +29,16 @@
             .labelNames("outcome")
             .register(registry);
 
+    private final Counter readings = Counter.builder()
+            .name("firwheel_map_readings")
+            .help("Readings of all ranks of the group, by outcome.")
+            .labelNames("outcome")
+            .register(registry);
+    private final Gauge readSeconds = Gauge.builder()
+            .name("firwheel_map_read_seconds")
+            .help("Duration of the last reading of all ranks of the group.")
+            .register(registry);
+
     /** Returns the registry that holds the metrics. */
     public PrometheusRegistry registry() {
         return registry;
@@ -47,4 +57,9 @@
     void countRollout(boolean switched) {
         rollouts.labelValues(switched ? "switched" : "called-off").inc();
     }
+
+    void countReading(String outcome, double seconds) {
+        readings.labelValues(outcome).inc();
+        readSeconds.set(seconds);
+    }
 }
