--- a/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
+++ b/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
@@ -21,15 +21,19 @@
     private boolean mapsDiverged;
 
     FakeGroup(int ranks, int experts) {
+        this(ranks, 1, experts);
+    }
+
+    FakeGroup(int ranks, int layers, int experts) {
         this.experts = experts;
         map = new long[ranks];
         prepared = noneForEachRank(ranks);
         armed = noneForEachRank(ranks);
         armedStep = noneForEachRank(ranks);
         held = noneForEachRank(ranks);
-        placement = new int[ranks][1][];
+        placement = new int[ranks][layers][];
         preparedPlacement = new int[ranks][][][];
-        counts = new long[experts];
+        counts = new long[layers * experts];
         placeContiguously();
     }
 
@@ -37,8 +41,10 @@
         int ranks = placement.length;
         for (int rank = 0; rank < ranks; rank++) {
             int first = rank * experts / ranks;
-            placement[rank][0] = java.util.stream.IntStream.range(first, (rank + 1) * experts / ranks)
-                    .toArray();
+            for (int layer = 0; layer < placement[rank].length; layer++) {
+                placement[rank][layer] = java.util.stream.IntStream.range(first, (rank + 1) * experts / ranks)
+                        .toArray();
+            }
         }
     }
 
@@ -116,8 +122,8 @@
 
     /** Selects the initial experts of the first rank ten times as often as all others. */
     private synchronized long[] selectionCounts() {
-        for (int expert = 0; hasRequests && expert < experts; expert++) {
-            counts[expert] += expert < experts / map.length ? 5_000 : 500;
+        for (int i = 0; hasRequests && i < counts.length; i++) {
+            counts[i] += i % experts < experts / map.length ? 5_000 : 500;
         }
         return counts.clone();
     }
