Load reports reach entries through one entry in each zone

Cause: the controller sent the loads of all ranks to every process four times a second: at 63 ranks 2.4 kB to each of 122, 1.2 MB/s out of a link of 0.7 MB/s, in the way of its own calls. Change: Mesh.broadcast sends a message to one process of a role in each zone, a random one each time, which forwards it to the others there. Why it works: three datagrams a report instead of 122; the rest is spread over the entries. A relay that is dead costs its zone one report of six that may be missed in a row. Evidence: MeshTest.sendsSameNumberOfBytesToManyReceiversAsToFew fails when the broadcast sends to all itself (972 bytes to 36 receivers, 81 to 3) and passes now.

--- a/mesh/src/main/java/firwheel/mesh/Membership.java
+++ b/mesh/src/main/java/firwheel/mesh/Membership.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.Collectors;
 
 /**
  * Tracks which processes of the deployment are alive. A process is alive as long as its heartbeat number increases,
@@ -66,6 +67,22 @@
         return randomSubset(alive(role), count);
     }
 
+    /** Returns one randomly selected process of a role that is alive for each availability zone that has one. */
+    public List<Member> sampleOnePerZone(String role) {
+        Map<String, List<Member>> byZone =
+                alive(role).stream().collect(Collectors.groupingBy(Member::availabilityZone));
+        return byZone.values().stream()
+                .map(members -> members.get(random.nextInt(members.size())))
+                .toList();
+    }
+
+    /** Returns the processes of a role in an availability zone that are alive. */
+    public List<Member> alive(String role, String availabilityZone) {
+        return alive(role).stream()
+                .filter(member -> member.availabilityZone().equals(availabilityZone))
+                .toList();
+    }
+
     /**
      * Returns up to {@code count} randomly selected processes to send heartbeats to, including those that may be
      * partitioned off.
--- a/mesh/src/main/java/firwheel/mesh/Mesh.java
+++ b/mesh/src/main/java/firwheel/mesh/Mesh.java
@@ -5,6 +5,7 @@
 import firwheel.wire.MeshMessage;
 import firwheel.wire.MeshMessage.Heartbeat;
 import firwheel.wire.MeshMessage.Member;
+import firwheel.wire.MeshMessage.ZoneRelay;
 import firwheel.wire.Message;
 import firwheel.wire.MessageCodec;
 import firwheel.wire.SharedKey;
@@ -56,6 +57,7 @@
     private final Map<Class<?>, BiConsumer<String, Message>> handlers = new HashMap<>();
     private Member self;
     private long droppedDatagrams;
+    private long bytesSent;
 
     /** Creates a mesh that is not started; all processes use the same {@code port}. */
     public Mesh(Vertx vertx, TimeSource time, SharedKey key, int port, Member self, HeartbeatFactory heartbeatFactory) {
@@ -93,6 +95,11 @@
         return droppedDatagrams;
     }
 
+    /** Returns how many bytes of datagrams were sent, without packet headers. */
+    public long bytesSent() {
+        return bytesSent;
+    }
+
     /** Sets the handler for messages of a type, which receives the IP address of the sender. */
     public <M extends MeshMessage> void onMessage(Class<M> type, BiConsumer<String, M> handler) {
         handlers.put(type, (sender, message) -> handler.accept(sender, type.cast(message)));
@@ -104,11 +111,19 @@
     }
 
     /** Sends a message to several processes, without a guarantee of delivery. */
-    public void send(List<Member> members, Message message) {
+    private void send(List<Member> members, Message message) {
         Buffer datagram = encodeDatagram(message);
         members.forEach(member -> sendDatagram(member.ip(), datagram));
     }
 
+    /**
+     * Sends a message to all processes of a role, without a guarantee of delivery. One of them in each zone, another
+     * one each time, forwards it to the others there, so that the sender's traffic does not grow with their number.
+     */
+    public void broadcast(String role, Message message) {
+        send(membership.sampleOnePerZone(role), new ZoneRelay(role, codec.encode(message)));
+    }
+
     /** Sends a heartbeat at once, and to more processes than usual, after a change that others may not know yet. */
     public void announceChange() {
         send(membership.heartbeatPeers(CHANGE_FANOUT), nextHeartbeat());
@@ -132,6 +147,7 @@
     }
 
     private void sendDatagram(String ip, Buffer datagram) {
+        bytesSent += datagram.length();
         var unused = socket.send(datagram, port, ip)
                 .onFailure(error ->
                         logger.atDebug().addKeyValue("peer", ip).setCause(error).log("failed to send datagram"));
@@ -167,6 +183,11 @@
             membership.merge(heartbeat.self());
             heartbeat.others().forEach(membership::merge);
         }
+        if (message instanceof ZoneRelay relay) {
+            Message relayed = codec.decode(relay.frame());
+            send(membership.alive(relay.role(), self.availabilityZone()), relayed);
+            onMessage(sender, relayed);
+        }
         BiConsumer<String, Message> handler = handlers.get(message.getClass());
         if (handler != null) {
             handler.accept(sender, message);
--- /dev/null
+++ b/mesh/src/test/java/firwheel/mesh/MeshTest.java
@@ -0,0 +1,114 @@
+package firwheel.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firwheel.model.TimeSource;
+import firwheel.wire.MeshMessage.GroupLoad;
+import firwheel.wire.MeshMessage.Heartbeat;
+import firwheel.wire.MeshMessage.Member;
+import firwheel.wire.SharedKey;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Processes that exchange datagrams over loopback addresses. */
+final class MeshTest {
+    private static final int ZONES = 3;
+    private static final GroupLoad LOAD = new GroupLoad("group", true, List.of(), List.of());
+    private static final long TIMEOUT_SECONDS = 20;
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final Set<String> receivers = ConcurrentHashMap.newKeySet();
+    private final List<Member> members = new ArrayList<>();
+
+    @AfterEach
+    void close() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private static int freePort() throws IOException {
+        try (DatagramSocket socket = new DatagramSocket()) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Starts a process of role agent and the given number of entries in each zone; returns the agent's mesh. */
+    private Mesh startProcesses(int entriesPerZone) throws IOException {
+        int port = freePort();
+        members.clear();
+        members.add(new Member("127.0.0.1", "zone-0", "agent", 1, 0));
+        for (int i = 0; i < ZONES * entriesPerZone; i++) {
+            members.add(new Member("127.0.0." + (i + 2), "zone-" + i % ZONES, "entry", 1, 0));
+        }
+        List<Mesh> meshes =
+                members.stream().map(member -> newMesh(member, port)).toList();
+        meshes.forEach(mesh -> mesh.start().join());
+        return meshes.get(0);
+    }
+
+    private Mesh newMesh(Member self, int port) {
+        Mesh mesh = new Mesh(
+                vertx,
+                TimeSource.system(),
+                new SharedKey("secret"),
+                port,
+                self,
+                (me, others) -> new Heartbeat(me, 1, 1, others));
+        members.forEach(mesh.membership()::merge);
+        mesh.onMessage(GroupLoad.class, (sender, load) -> receivers.add(self.ip()));
+        return mesh;
+    }
+
+    private long bytesOfBroadcast(Mesh mesh) throws InterruptedException {
+        long[] bytes = new long[1];
+        receivers.clear();
+        CountDownLatch sent = new CountDownLatch(1);
+        vertx.getOrCreateContext().runOnContext(ignored -> {
+            long before = mesh.bytesSent();
+            mesh.broadcast("entry", LOAD);
+            bytes[0] = mesh.bytesSent() - before;
+            sent.countDown();
+        });
+        assertThat(sent.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        return bytes[0];
+    }
+
+    private void awaitReceivers(int count) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (receivers.size() < count && System.nanoTime() < deadlineNanos) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    @Nested
+    final class Broadcast {
+        @Test
+        void reachesAllProcessesOfRole() throws Exception {
+            Mesh agent = startProcesses(4);
+
+            bytesOfBroadcast(agent);
+            awaitReceivers(ZONES * 4);
+
+            assertThat(receivers).hasSize(ZONES * 4).doesNotContain("127.0.0.1");
+        }
+
+        @Test
+        void sendsSameNumberOfBytesToManyReceiversAsToFew() throws Exception {
+            long bytesToFew = bytesOfBroadcast(startProcesses(1));
+            long bytesToMany = bytesOfBroadcast(startProcesses(12));
+
+            assertThat(bytesToFew).isPositive();
+            assertThat(bytesToMany).isEqualTo(bytesToFew);
+        }
+    }
+}
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -48,6 +48,15 @@
     record GroupLoad(String group, boolean stepping, List<TargetLoad> targets, List<TargetAddress> unreachable)
             implements MeshMessage {}
 
+    /**
+     * Message that the receiver forwards to the other processes of a role in its own availability zone.
+     *
+     * @param role role of the processes that the message is for
+     * @param frame encoded message
+     */
+    @SuppressWarnings("ArrayRecordComponent") // not modified after encoding
+    record ZoneRelay(String role, byte[] frame) implements MeshMessage {}
+
     /** IP address and port of a target. */
     record TargetAddress(String ip, int port) {}
 }
--- a/wire/src/main/java/firwheel/wire/MessageType.java
+++ b/wire/src/main/java/firwheel/wire/MessageType.java
@@ -29,7 +29,8 @@
     CLOCK_READING(32, LoadMessage.ClockReading.class),
     TABLE(40, TableFrame.class),
     HEARTBEAT(50, MeshMessage.Heartbeat.class),
-    GROUP_LOAD(51, MeshMessage.GroupLoad.class);
+    GROUP_LOAD(51, MeshMessage.GroupLoad.class),
+    ZONE_RELAY(52, MeshMessage.ZoneRelay.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
