A rank that does not answer no longer ends the controller's term

Cause: a reading waited 250 to 300 ms for an agent that does not answer, then 200 to 400 ms for its engine, and the next one began 250 ms after its end. With one host cut off, agents heard of the controller only every 750 ms or more and elected another one after 700 ms; each new controller starts with an aborted rollout and without a load estimate. Change: the interval between readings is counted from their start; an agent that failed within the last two seconds is called as before but waited for 100 ms only. Why it works: a reading with an unreachable rank takes 300 ms, the first one 500 ms; the election timeout is 700 ms. Evidence: MapControllerTest.UnresponsiveRank failed before (controllers 0, 1, 0 elected instead of 0, 1) and passes.

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -63,6 +63,8 @@
 
     private static final Duration READ_INTERVAL =
             Duration.ofMillis(250); // a quarter of the time to load and switch to a new map
+    private static final Duration MIN_READ_PAUSE =
+            Duration.ofMillis(50); // leaves the host to its engine and to calls that end a reading late
     private static final Duration LOADING_INTERVAL = Duration.ofMillis(60); // about the time to load one expert
     private static final Duration HOLD_INTERVAL =
             Duration.ofMillis(5); // short, since the hold must be released before the group reaches the step
@@ -124,7 +126,7 @@
         this.time = time;
         this.agent = agent;
         this.engine = engine;
-        client = new RankClient(time, agent, http, environment.engineAt());
+        client = new RankClient(vertx, time, agent, http, environment.engineAt());
         this.election = election;
         this.environment = environment;
         readingLog = new ReadingLog(time, http, environment.metrics());
@@ -136,6 +138,7 @@
     }
 
     private void tick() {
+        long startedMillis = time.monotonicMillis();
         CompletableFuture<Void> iteration = CompletableFuture.<Void>completedFuture(null)
                 .thenCompose(begun -> term > 0 && term >= agent.term() ? control() : follow());
         var unused = iteration.whenComplete((done, error) -> {
@@ -145,12 +148,19 @@
                         .addKeyValue("reason", String.valueOf(error.getMessage()))
                         .log("map controller iteration failed");
             }
-            MapRollout active = rollout;
-            Duration delay = active == null ? READ_INTERVAL : active.mayBlockGroup() ? HOLD_INTERVAL : LOADING_INTERVAL;
-            vertx.setTimer(delay.toMillis(), id -> tick());
+            vertx.setTimer(nextTickDelayMillis(time.monotonicMillis() - startedMillis), id -> tick());
         });
     }
 
+    /** Agents must hear of the controller within the election timeout, so the duration of a reading is deducted. */
+    private long nextTickDelayMillis(long iterationMillis) {
+        MapRollout active = rollout;
+        if (active != null) {
+            return (active.mayBlockGroup() ? HOLD_INTERVAL : LOADING_INTERVAL).toMillis();
+        }
+        return Math.max(MIN_READ_PAUSE.toMillis(), READ_INTERVAL.toMillis() - iterationMillis);
+    }
+
     /** Waits for requests from a controller and campaigns for election after the election timeout. */
     private CompletableFuture<Void> follow() {
         if (term > 0) {
--- a/rebalance/src/main/java/firwheel/rebalance/RankClient.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankClient.java
@@ -3,6 +3,7 @@
 import firwheel.experts.rollout.RankOrder;
 import firwheel.mesh.AuthenticatedHttp;
 import firwheel.model.TimeSource;
+import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -22,8 +23,11 @@
             "silent"; // placeholder for the IP address of an agent that does not respond
     private static final Duration AGENT_BYPASS_TIME =
             Duration.ofSeconds(2); // an agent that failed is bypassed for this long
+    private static final Duration UNRESPONSIVE_AGENT_WAIT =
+            Duration.ofMillis(100); // many round trips; with a direct reading less than the election timeout
     private static final Logger logger = LoggerFactory.getLogger(RankClient.class);
 
+    private final Vertx vertx;
     private final TimeSource time;
     private final RankAgent localAgent;
     private final AuthenticatedHttp http;
@@ -45,7 +49,12 @@
     record CallOptions(Duration timeout, boolean mayBypassAgent) {}
 
     RankClient(
-            TimeSource time, RankAgent localAgent, AuthenticatedHttp http, Function<EngineAddress, Engine> engineAt) {
+            Vertx vertx,
+            TimeSource time,
+            RankAgent localAgent,
+            AuthenticatedHttp http,
+            Function<EngineAddress, Engine> engineAt) {
+        this.vertx = vertx;
         this.time = time;
         this.localAgent = localAgent;
         this.http = http;
@@ -57,8 +66,19 @@
         return localAgent.read(read).thenApply(reading -> new Answer("", reading));
     }
 
-    /** Reads a rank through its agent. */
+    /** Reads a rank through its agent. An agent that failed recently is called too, but not waited for as long. */
     CompletableFuture<Answer> readAgent(String ip, RankCall.Read read, Duration timeout) {
+        boolean unresponsive = isAgentUnresponsive(ip);
+        CompletableFuture<Answer> answer = callAgent(ip, read, timeout);
+        if (unresponsive) {
+            long timer =
+                    vertx.setTimer(UNRESPONSIVE_AGENT_WAIT.toMillis(), id -> answer.complete(new Answer(ip, null)));
+            var unused = answer.whenComplete((done, error) -> vertx.cancelTimer(timer));
+        }
+        return answer;
+    }
+
+    private CompletableFuture<Answer> callAgent(String ip, RankCall.Read read, Duration timeout) {
         return http.call(ip, RankCall.READ_PATH, RankCall.encode(read), timeout)
                 .thenApply(reply -> {
                     RankCall.Reading reading = RankCall.decode(reply, RankCall.Reading.class);
@@ -92,7 +112,7 @@
         if (rank.agentIp().isEmpty()) {
             return emptyOnError(rank.engine(), readLocal(read));
         }
-        if (options.mayBypassAgent() && isAgentUnresponsive(rank)) {
+        if (options.mayBypassAgent() && isAgentUnresponsive(rank.agentIp())) {
             return readStateDirectly(rank, read.term());
         }
         CompletableFuture<Answer> viaAgent = readAgent(rank.agentIp(), read, options.timeout());
@@ -111,7 +131,7 @@
         }
         Supplier<CompletableFuture<Boolean>> sendDirectly =
                 () -> engineAt.apply(rank.engine()).submit(call.order());
-        if (options.mayBypassAgent() && isAgentUnresponsive(rank)) {
+        if (options.mayBypassAgent() && isAgentUnresponsive(rank.agentIp())) {
             return falseOnError(call.order(), sendDirectly.get());
         }
         CompletableFuture<Boolean> viaAgent = http.call(
@@ -134,11 +154,11 @@
                                 rank.agentIp(), new RankCall.Reading(term, rank.engine(), state, null, null))));
     }
 
-    private boolean isAgentUnresponsive(Route rank) {
-        Long failedNanos = agentFailedNanos.get(rank.agentIp());
+    private boolean isAgentUnresponsive(String agentIp) {
+        Long failedNanos = agentFailedNanos.get(agentIp);
         boolean failedRecently =
                 failedNanos != null && time.monotonicNanos() - failedNanos < AGENT_BYPASS_TIME.toNanos();
-        return failedRecently || rank.agentIp().equals(NO_AGENT_IP);
+        return failedRecently || agentIp.equals(NO_AGENT_IP);
     }
 
     private static CompletableFuture<Answer> emptyOnError(EngineAddress engine, CompletableFuture<Answer> answer) {
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -7,8 +7,11 @@
 import firwheel.wire.SharedKey;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +21,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -37,9 +41,15 @@
     private final List<Integer> winners = new CopyOnWriteArrayList<>();
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
     private final List<MapController.RankLoad> loads = new CopyOnWriteArrayList<>();
+    private final AtomicLong reports = new AtomicLong();
+    private final List<Closeable> sockets = new ArrayList<>();
+    private @Nullable EngineAddress silentEngine;
 
     @AfterEach
-    void close() {
+    void close() throws IOException {
+        for (Closeable socket : sockets) {
+            socket.close();
+        }
         vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 
@@ -75,15 +85,43 @@
                 },
                 new MapController.Environment(
                         () -> others,
-                        other -> group.engine(other.port() - FIRST_ENGINE_PORT),
+                        other -> other.equals(silentEngine)
+                                ? new SilentEngine(vertx)
+                                : group.engine(other.port() - FIRST_ENGINE_PORT),
                         () -> policies.get(rank),
-                        report -> loads.addAll(report.loads()),
+                        report -> {
+                            loads.addAll(report.loads());
+                            reports.incrementAndGet();
+                        },
                         () -> engines,
                         new MapMetrics()));
         servers.add(http.listen(ip(rank)).join());
         vertx.getOrCreateContext().runOnContext(ignored -> controller.start());
     }
 
+    /** Cuts off the host of a rank: attempts to connect to its agent get no reply. */
+    private void cutOff(int rank, int port) throws IOException {
+        silentEngine = engine(rank);
+        InetSocketAddress address = new InetSocketAddress(ip(rank), port);
+        sockets.add(new ServerSocket(port, 1, address.getAddress()));
+        for (int i = 0; i < 4; i++) {
+            SocketChannel queued = SocketChannel.open();
+            queued.configureBlocking(false);
+            queued.connect(address);
+            sockets.add(queued);
+        }
+    }
+
+    private void awaitReports(long count) throws InterruptedException {
+        long last = reports.get() + count;
+        long deadlineNanos =
+                System.nanoTime() + Duration.ofSeconds(TIMEOUT_SECONDS).toNanos();
+        while (reports.get() < last && System.nanoTime() < deadlineNanos) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        assertThat(reports.get()).isGreaterThanOrEqualTo(last);
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
@@ -166,4 +204,22 @@
             assertThat(group.mapsDiverged()).isFalse();
         }
     }
+
+    @Nested
+    final class UnresponsiveRank {
+        @Test
+        void doesNotMakeOtherAgentsElectAnotherController() throws Exception {
+            int port = freePort();
+            cutOff(RANKS - 1, port);
+            for (int rank = 0; rank < RANKS - 1; rank++) {
+                startRank(rank, port);
+            }
+            awaitReports(4);
+            List<Integer> earlierWinners = List.copyOf(winners);
+
+            awaitReports(16);
+
+            assertThat(winners).isEqualTo(earlierWinners);
+        }
+    }
 }
