Controllers read every known agent, not only those heard of lately

Cause: a heartbeat carries 24 of the other processes. With 123 processes a live one is often not heard of for 8 s, so each process took only some of the others for alive. The controller did not read the agents that it missed; they heard of no controller and elected another one. Change: controllers read all agents, and zone relays forward to all processes, that were alive within the last minute. Only relays and peers to fetch state from are chosen among those alive. Why it works: an ended agent costs a reading 100 ms at most for a minute; a live one is never left out. LargeDeploymentTest fails with alive() (76 to 120 of 122 processes) and passes with known().

--- a/mesh/src/main/java/firwheel/mesh/Membership.java
+++ b/mesh/src/main/java/firwheel/mesh/Membership.java
@@ -52,6 +52,16 @@
         return alive().stream().filter(member -> member.role().equals(role)).toList();
     }
 
+    /**
+     * Returns the processes of a role that were alive within the retention time. They include live processes whose
+     * heartbeats arrive late, as they do when there are many processes, and some that have ended.
+     */
+    public List<Member> known(String role) {
+        return updatedWithin(RETENTION).stream()
+                .filter(member -> member.role().equals(role))
+                .toList();
+    }
+
     /** Returns all processes that are alive, except this one. */
     public List<Member> alive() {
         return updatedWithin(ALIVE_TIMEOUT);
@@ -76,9 +86,9 @@
                 .toList();
     }
 
-    /** Returns the processes of a role in an availability zone that are alive. */
-    public List<Member> alive(String role, String availabilityZone) {
-        return alive(role).stream()
+    /** Returns the known processes of a role in an availability zone. */
+    public List<Member> known(String role, String availabilityZone) {
+        return known(role).stream()
                 .filter(member -> member.availabilityZone().equals(availabilityZone))
                 .toList();
     }
--- a/mesh/src/main/java/firwheel/mesh/Mesh.java
+++ b/mesh/src/main/java/firwheel/mesh/Mesh.java
@@ -185,7 +185,7 @@
         }
         if (message instanceof ZoneRelay relay) {
             Message relayed = codec.decode(relay.frame());
-            send(membership.alive(relay.role(), self.availabilityZone()), relayed);
+            send(membership.known(relay.role(), self.availabilityZone()), relayed);
             onMessage(sender, relayed);
         }
         BiConsumer<String, Message> handler = handlers.get(message.getClass());
--- a/mesh/src/test/java/firwheel/mesh/MembershipTest.java
+++ b/mesh/src/test/java/firwheel/mesh/MembershipTest.java
@@ -18,6 +18,27 @@
         return new Member(ip, "zone-a", "entry", incarnation, heartbeatSequence);
     }
 
+    @Nested
+    final class Known {
+        @Test
+        void includesLiveMemberWhoseHeartbeatsArriveLate() {
+            membership.merge(member("10.0.0.2", 1, 5));
+            time.advance(Duration.ofSeconds(12));
+
+            assertThat(membership.known("entry")).hasSize(1);
+            assertThat(membership.known("entry", "zone-a")).hasSize(1);
+            assertThat(membership.known("entry", "zone-b")).isEmpty();
+        }
+
+        @Test
+        void excludesMemberThatIsGoneForLong() {
+            membership.merge(member("10.0.0.2", 1, 5));
+            time.advance(Duration.ofSeconds(61));
+
+            assertThat(membership.known("entry")).isEmpty();
+        }
+    }
+
     @Nested
     final class Alive {
         @Test
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -33,7 +33,7 @@
     /**
      * Dependencies of the controller.
      *
-     * @param agentIps returns the IP addresses of all live agents but this one
+     * @param agentIps returns the IP addresses of all known agents but this one; some may have ended
      * @param engineAt returns a client of the engine at an address, for ranks whose agent does not respond
      * @param policy returns the policy of the group, or null until its configuration is known
      * @param reports receives the result of each reading of the group
