--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -367,7 +367,14 @@
     private CompletableFuture<Void> onIncompleteRead(MapRollout active) {
         if (++incompleteReads >= MAX_INCOMPLETE_READS) {
             Events.log(
-                    logger, EventCode.MAP_ABORTED, "group", group, "reason", "ranks cannot be read", "state", active);
+                    logger,
+                    EventCode.MAP_ABORTED,
+                    "group",
+                    group,
+                    "reason",
+                    "ranks cannot be read",
+                    "state",
+                    active.toString());
             incompleteReads = 0;
             takeoverComplete = false;
             rollout = null;
@@ -388,7 +395,7 @@
                         "version",
                         active.version(),
                         "state",
-                        active);
+                        active.toString());
             }
             takeoverComplete = true;
             rollout = null;
