A starting process announces itself without its sample of others

Cause: a process that starts sends a heartbeat to all others, with 24 other members in it. When all 123 start together, as after a loss of power, each receives 122 of them, 3,000 members to decode in its first second, while an agent's link carries 0.15 MB of them. Change: the announcement names only the sender; the members come from the store at the start and from the usual heartbeats. Evidence: MeshTest.Start fails before (693 bytes to each of 36 processes, 125 to each of 3), passes now.

--- a/mesh/src/main/java/firwheel/mesh/Mesh.java
+++ b/mesh/src/main/java/firwheel/mesh/Mesh.java
@@ -77,8 +77,9 @@
         return socket.listen(port, self.ip())
                 .onSuccess(listening -> {
                     vertx.setPeriodic(HEARTBEAT_INTERVAL.toMillis(), id -> sendHeartbeat());
-                    // Announces this process to all others at once; gossip would take seconds.
-                    send(membership.alive(), nextHeartbeat());
+                    // Announces this process to all others at once; gossip would take seconds. When all start together,
+                    // each receives as many announcements as there are processes, so they carry no other members.
+                    send(membership.alive(), heartbeatFactory.create(nextSelf(), List.of()));
                 })
                 .<Void>mapEmpty()
                 .toCompletionStage()
@@ -134,9 +135,13 @@
     }
 
     private Heartbeat nextHeartbeat() {
+        return heartbeatFactory.create(nextSelf(), membership.sample(MAX_SAMPLED_MEMBERS));
+    }
+
+    private Member nextSelf() {
         self = new Member(
                 self.ip(), self.availabilityZone(), self.role(), self.incarnation(), self.heartbeatSequence() + 1);
-        return heartbeatFactory.create(self, membership.sample(MAX_SAMPLED_MEMBERS));
+        return self;
     }
 
     private Buffer encodeDatagram(Message message) {
--- a/mesh/src/test/java/firwheel/mesh/MeshTest.java
+++ b/mesh/src/test/java/firwheel/mesh/MeshTest.java
@@ -111,4 +111,16 @@
             assertThat(bytesToMany).isEqualTo(bytesToFew);
         }
     }
+
+    @Nested
+    final class Start {
+        @Test
+        void sendsSameNumberOfBytesToEachProcessHoweverManyThereAre() throws Exception {
+            long bytesToEachOfFew = startProcesses(1).bytesSent() / ZONES;
+            long bytesToEachOfMany = startProcesses(12).bytesSent() / (12 * ZONES);
+
+            assertThat(bytesToEachOfFew).isPositive();
+            assertThat(bytesToEachOfMany).isEqualTo(bytesToEachOfFew);
+        }
+    }
 }
