Zone relays forward frames as they are

Cause: a relay decoded and encoded what it forwards; a message type of a newer version would have failed to encode and ended the handling of the datagram. Change: the frame is forwarded unchanged with a new code of authenticity, then decoded for the relay itself.

--- a/mesh/src/main/java/firwheel/mesh/Mesh.java
+++ b/mesh/src/main/java/firwheel/mesh/Mesh.java
@@ -108,12 +108,15 @@
 
     /** Sends a message to one process, without a guarantee of delivery. */
     public void send(String ip, Message message) {
-        sendDatagram(ip, encodeDatagram(message));
+        sendDatagram(ip, authenticate(codec.encode(message)));
     }
 
-    /** Sends a message to several processes, without a guarantee of delivery. */
     private void send(List<Member> members, Message message) {
-        Buffer datagram = encodeDatagram(message);
+        sendFrame(members, codec.encode(message));
+    }
+
+    private void sendFrame(List<Member> members, byte[] frame) {
+        Buffer datagram = authenticate(frame);
         members.forEach(member -> sendDatagram(member.ip(), datagram));
     }
 
@@ -144,8 +147,7 @@
         return self;
     }
 
-    private Buffer encodeDatagram(Message message) {
-        byte[] frame = codec.encode(message);
+    private Buffer authenticate(byte[] frame) {
         return Buffer.buffer(MAC_BYTES + frame.length)
                 .appendBytes(computeMac(frame))
                 .appendBytes(frame);
@@ -189,9 +191,8 @@
             heartbeat.others().forEach(membership::merge);
         }
         if (message instanceof ZoneRelay relay) {
-            Message relayed = codec.decode(relay.frame());
-            send(membership.known(relay.role(), self.availabilityZone()), relayed);
-            onMessage(sender, relayed);
+            sendFrame(membership.known(relay.role(), self.availabilityZone()), relay.frame());
+            onMessage(sender, codec.decode(relay.frame()));
         }
         BiConsumer<String, Message> handler = handlers.get(message.getClass());
         if (handler != null) {
