Incomplete readings during a rollout are logged too

Change: such a reading is logged as incomplete, within the same limit of lines. Evidence: MapControllerTest and LargeGroupTest pass.

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -98,13 +98,13 @@
     private final ControllerElection election;
     private final Environment environment;
     private final ReadingLog readingLog;
+    private final SelectionSampling selectionSampling = new SelectionSampling(AGENTS_PER_SELECTION_READING);
     private final Map<Integer, RankClient.Route> ranks = new TreeMap<>();
     private String group = "";
     private long term;
     private long epoch = -1;
     private boolean takeoverComplete;
     private long usedVersions;
-    private final SelectionSampling selectionSampling = new SelectionSampling(AGENTS_PER_SELECTION_READING);
     private @Nullable MapRollout rollout;
     private int[][][] currentPlacement = {};
     private int incompleteReads;
@@ -342,6 +342,7 @@
 
     /** Reads all ranks and sends the next orders of the rollout. */
     private CompletableFuture<Void> advanceRollout(MapRollout active) {
+        long startedNanos = time.monotonicNanos();
         List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
         RankCall.Read read = new RankCall.Read(term, false, false);
         ranks.values().forEach(rank -> calls.add(client.readRank(rank, read, readOptions(active))));
@@ -357,6 +358,9 @@
             report(readings, active.mayBlockGroup() ? environment.knownEngines().get() : Set.of());
             List<RankView> views = GroupReadings.views(readings, ranks.size());
             if (views.isEmpty()) {
+                readingLog.record(
+                        new ReadingLog.Reading(group, term, ranks.size(), readings.size(), ranks.size(), startedNanos),
+                        ReadingLog.Outcome.INCOMPLETE);
                 return onIncompleteRead(active);
             }
             incompleteReads = 0;
