The first map after an outage is planned from what was selected before it

What callers saw: after a zone is back, answers are late for two to three seconds. Cause: agents dropped selections older than 4 s. Change: selections since a reading of up to 30 s ago are reported. Why it works: while a group is down nothing is selected, so that the increase is of the seconds before and after the outage. Evidence: RankAgentTest.areReportedAfterAnOutageOfSeconds fails before, passes now.

--- a/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
@@ -11,7 +11,8 @@
  * controller with the latest term. All methods run on one event loop.
  */
 public final class RankAgent {
-    private static final Duration MAX_SELECTIONS_AGE = Duration.ofSeconds(4); // demand shifts within seconds
+    private static final Duration MAX_SELECTIONS_AGE =
+            Duration.ofSeconds(30); // longer than an outage of a zone; nothing is selected while a group is down
 
     private final Engine engine;
     private final EngineAddress address;
