No request is queued behind a full target: a passing shortage no longer delays all later ones

Cause: entries sent to targets whose places were all taken, until these refused. A shortage of some seconds (the first map, one slow rank) filled the queues; at a load near the capacity they never drained, so every request waited for seconds behind others that were late as well. Service came back at 26 s, when keys that were taken away lowered the load. Change: a target whose last report leaves no place is not selected; when all are full the request is refused at once and told to return when places are free (TARGETS_FULL).

--- a/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
@@ -117,6 +117,11 @@
                 : inFlight;
     }
 
+    /** Returns whether a report that is not older than {@code maxReportAge} leaves none of {@code slots} free. */
+    public boolean isFull(long nowNanos, Duration maxReportAge, int slots) {
+        return hasRecentReport(nowNanos, maxReportAge) && estimatedRequests(nowNanos, maxReportAge) >= slots;
+    }
+
     /** Returns the slowdown reported by the target, or 1 if the last report is older than {@code maxReportAge}. */
     public double slowdown(long nowNanos, Duration maxReportAge) {
         return hasRecentReport(nowNanos, maxReportAge) ? slowdown : 1;
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -80,6 +80,17 @@
         });
     }
 
+    /**
+     * Returns why no target of {@code service} can be selected: all that serve are full, or none serves. A full target
+     * is not selected, because a queue that formed in a short shortage would never drain at a load near the capacity,
+     * and would delay all later requests.
+     */
+    public RetryAfterPolicy.Reason shortage(String service) {
+        return findAvailable(service, Set.of(), time.monotonicNanos()).isEmpty()
+                ? RetryAfterPolicy.Reason.NO_TARGET_AVAILABLE
+                : RetryAfterPolicy.Reason.TARGETS_FULL;
+    }
+
     /** Returns whether a target of {@code service} that is not in {@code tried} can be selected. */
     public boolean hasCandidate(String service, Set<Target.Key> tried) {
         return !findCandidates(service, tried, time.monotonicNanos()).isEmpty();
@@ -109,6 +120,12 @@
     }
 
     private List<Target> findCandidates(String service, Set<Target.Key> tried, long now) {
+        List<Target> candidates = findAvailable(service, tried, now);
+        candidates.removeIf(target -> load(target).isFull(now, MAX_REPORT_AGE, target.slots()));
+        return candidates;
+    }
+
+    private List<Target> findAvailable(String service, Set<Target.Key> tried, long now) {
         List<Target> candidates = new ArrayList<>();
         for (Target target : directory.serving(service)) {
             if (isServing(target, now)
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -134,10 +134,12 @@
     private void sendToTarget(Route matchedRoute) {
         Target target = state.targetSelector.select(service, triedTargets);
         if (target == null) {
+            Reason shortage = state.targetSelector.shortage(service);
             fail(
                     ResultCode.NO_TARGET,
-                    "no available target of service " + service + ", " + triedTargets.size() + " tried",
-                    Reason.NO_TARGET_AVAILABLE);
+                    (shortage == Reason.TARGETS_FULL ? "no free place at any target" : "no available target")
+                            + " of service " + service + ", " + triedTargets.size() + " tried",
+                    shortage);
             return;
         }
         boolean newConnection = matchedRoute.kind() == RequestKind.AT_MOST_ONCE;
@@ -331,9 +333,7 @@
             fail(
                     ResultCode.TARGET_REFUSED,
                     "target " + attempt.target().instanceId() + " rejected the request with status " + head.status(),
-                    state.targetSelector.hasCandidate(service, Set.of())
-                            ? Reason.TARGETS_FULL
-                            : Reason.NO_TARGET_AVAILABLE);
+                    state.targetSelector.shortage(service));
         }
     }
 
