--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -191,21 +191,25 @@
                 .whenComplete((wonTerm, error) -> agent.resetElectionTimer())
                 .thenAccept(wonTerm -> {
                     if (wonTerm > 0) {
-                        term = wonTerm;
-                        agent.observeTerm(wonTerm);
-                        takeoverComplete = false;
-                        epoch = -1;
-                        usedVersions = 0;
-                        MapPolicy policy = environment.policy().get();
-                        if (policy != null) {
-                            policy.reset();
-                        }
-                        environment.metrics().setControlling(true);
-                        Events.log(logger, EventCode.LEASE_ACQUIRED, "group", group, "term", wonTerm);
+                        startTerm(wonTerm);
                     }
                 });
     }
 
+    private void startTerm(long wonTerm) {
+        term = wonTerm;
+        agent.observeTerm(wonTerm);
+        takeoverComplete = false;
+        epoch = -1;
+        usedVersions = 0;
+        MapPolicy policy = environment.policy().get();
+        if (policy != null) {
+            policy.reset();
+        }
+        environment.metrics().setControlling(true);
+        Events.log(logger, EventCode.LEASE_ACQUIRED, "group", group, "term", wonTerm);
+    }
+
     private CompletableFuture<Void> control() {
         MapRollout active = rollout;
         return active == null ? readAndPlan() : advanceRollout(active);
