Load reports of a large group fit into datagrams that receivers can read

Cause: the loads of 63 ranks were one datagram of 2.4 kB; receivers read datagrams into 2,048 bytes, so that the code of authenticity never matched and each report was dropped. With more than about 50 ranks no entry ever got a report: it placed requests by what it had sent itself, and took no rank for full. Why it works: a part is about 1 kB, below the buffer and within one packet.

--- a/mesh/src/test/java/firwheel/mesh/MeshTest.java
+++ b/mesh/src/test/java/firwheel/mesh/MeshTest.java
@@ -6,6 +6,7 @@
 import firwheel.wire.MeshMessage.GroupLoad;
 import firwheel.wire.MeshMessage.Heartbeat;
 import firwheel.wire.MeshMessage.Member;
+import firwheel.wire.MeshMessage.TargetLoad;
 import firwheel.wire.SharedKey;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -17,6 +18,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -24,11 +26,18 @@
 /** Processes that exchange datagrams over loopback addresses. */
 final class MeshTest {
     private static final int ZONES = 3;
-    private static final GroupLoad LOAD = new GroupLoad("group", true, List.of(), List.of());
+    private static final int RANKS = 63;
+    private static final GroupLoad LOAD = new GroupLoad(
+            "group-0",
+            true,
+            IntStream.range(0, RANKS)
+                    .mapToObj(rank -> new TargetLoad("10.11.12." + rank, 8_381, 1_780_000_000_000L + rank, 21, 1.25))
+                    .toList(),
+            List.of());
     private static final long TIMEOUT_SECONDS = 20;
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-    private final Set<String> receivers = ConcurrentHashMap.newKeySet();
+    private final Set<String> received = ConcurrentHashMap.newKeySet();
     private final List<Member> members = new ArrayList<>();
 
     @AfterEach
@@ -65,17 +74,18 @@
                 self,
                 (me, others) -> new Heartbeat(me, 1, 1, others));
         members.forEach(mesh.membership()::merge);
-        mesh.onMessage(GroupLoad.class, (sender, load) -> receivers.add(self.ip()));
+        mesh.onMessage(GroupLoad.class, (sender, load) -> load.targets()
+                .forEach(target -> received.add(self.ip() + " " + target.ip())));
         return mesh;
     }
 
     private long bytesOfBroadcast(Mesh mesh) throws InterruptedException {
         long[] bytes = new long[1];
-        receivers.clear();
+        received.clear();
         CountDownLatch sent = new CountDownLatch(1);
         vertx.getOrCreateContext().runOnContext(ignored -> {
             long before = mesh.bytesSent();
-            mesh.broadcast("entry", LOAD);
+            LOAD.parts().forEach(part -> mesh.broadcast("entry", part));
             bytes[0] = mesh.bytesSent() - before;
             sent.countDown();
         });
@@ -83,9 +93,9 @@
         return bytes[0];
     }
 
-    private void awaitReceivers(int count) throws InterruptedException {
+    private void awaitReceived(int count) throws InterruptedException {
         long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
-        while (receivers.size() < count && System.nanoTime() < deadlineNanos) {
+        while (received.size() < count && System.nanoTime() < deadlineNanos) {
             TimeUnit.MILLISECONDS.sleep(5);
         }
     }
@@ -93,13 +103,13 @@
     @Nested
     final class Broadcast {
         @Test
-        void reachesAllProcessesOfRole() throws Exception {
+        void deliversLoadOfLargeGroupToAllProcessesOfRole() throws Exception {
             Mesh agent = startProcesses(4);
 
             bytesOfBroadcast(agent);
-            awaitReceivers(ZONES * 4);
+            awaitReceived(ZONES * 4 * RANKS);
 
-            assertThat(receivers).hasSize(ZONES * 4).doesNotContain("127.0.0.1");
+            assertThat(received).hasSize(ZONES * 4 * RANKS);
         }
 
         @Test
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -1,5 +1,6 @@
 package firwheel.wire;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /** Datagrams between the processes of one deployment. Any datagram may be lost, so none depends on another. */
@@ -46,7 +47,23 @@
      * @param unreachable ranks that could not be read over any path
      */
     record GroupLoad(String group, boolean stepping, List<TargetLoad> targets, List<TargetAddress> unreachable)
-            implements MeshMessage {}
+            implements MeshMessage {
+        private static final int MAX_TARGETS_PER_PART = 24; // keeps a part within one packet
+
+        /** Splits the loads of a large group into messages that each fit into one datagram. */
+        public List<GroupLoad> parts() {
+            List<GroupLoad> parts = new ArrayList<>();
+            int count = Math.max(targets.size(), unreachable.size());
+            for (int from = 0; from == 0 || from < count; from += MAX_TARGETS_PER_PART) {
+                parts.add(new GroupLoad(group, stepping, part(targets, from), part(unreachable, from)));
+            }
+            return parts;
+        }
+
+        private static <T> List<T> part(List<T> items, int from) {
+            return items.subList(Math.min(from, items.size()), Math.min(from + MAX_TARGETS_PER_PART, items.size()));
+        }
+    }
 
     /**
      * Message that the receiver forwards to the other processes of a role in its own availability zone.
