Processes started with the clock set back are followed by their peers at once

A process counts as newer than an earlier one on the same host if its start time is later. After the time of day was set back, peers that knew the earlier process ignored the heartbeats of the new one until they forgot the earlier one, a minute later. A process now raises its incarnation above one that peers report for its own host.

MeshTest.StartWithClockBehindEarlierProcess failed before: the peer knew only the earlier process after 20 s.

--- a/mesh/src/main/java/firwheel/mesh/Membership.java
+++ b/mesh/src/main/java/firwheel/mesh/Membership.java
@@ -26,6 +26,7 @@
     private final Random random;
     private final String selfIp;
     private final Map<String, Observation> observations = new HashMap<>();
+    private long reportedOwnIncarnation;
 
     private record Observation(Member member, long updatedNanos) {}
 
@@ -39,6 +40,7 @@
     /** Merges a report about a process; reports that are not newer than the known state are ignored. */
     public void merge(Member member) {
         if (member.ip().equals(selfIp)) {
+            reportedOwnIncarnation = Math.max(reportedOwnIncarnation, member.incarnation());
             return;
         }
         Observation observation = observations.get(member.ip());
@@ -47,6 +49,14 @@
         }
     }
 
+    /**
+     * Returns the highest incarnation of this host's process that others have reported, or 0. Incarnations are start
+     * times, so that of an earlier process is higher than this one's if the clock was set back in between.
+     */
+    long reportedOwnIncarnation() {
+        return reportedOwnIncarnation;
+    }
+
     /** Returns the processes of a role that are alive. */
     public List<Member> alive(String role) {
         return alive().stream().filter(member -> member.role().equals(role)).toList();
--- a/mesh/src/main/java/firwheel/mesh/Mesh.java
+++ b/mesh/src/main/java/firwheel/mesh/Mesh.java
@@ -147,6 +147,23 @@
         return self;
     }
 
+    /**
+     * Raises the incarnation above that of an earlier process on this host, for others ignore this process as long as
+     * they know a higher one. Returns whether it was raised.
+     */
+    private boolean supersedeEarlierIncarnation() {
+        long reported = membership.reportedOwnIncarnation();
+        if (reported <= self.incarnation()) {
+            return false;
+        }
+        logger.atInfo()
+                .addKeyValue("incarnation", self.incarnation())
+                .addKeyValue("earlierIncarnation", reported)
+                .log("clock was behind the start time of an earlier process on this host; raising the incarnation");
+        self = new Member(self.ip(), self.availabilityZone(), self.role(), reported + 1, self.heartbeatSequence());
+        return true;
+    }
+
     private Buffer authenticate(byte[] frame) {
         return Buffer.buffer(MAC_BYTES + frame.length)
                 .appendBytes(computeMac(frame))
@@ -189,6 +206,9 @@
         if (message instanceof Heartbeat heartbeat) {
             membership.merge(heartbeat.self());
             heartbeat.others().forEach(membership::merge);
+            if (supersedeEarlierIncarnation()) {
+                announceChange();
+            }
         }
         if (message instanceof ZoneRelay relay) {
             sendFrame(membership.known(relay.role(), self.availabilityZone()), relay.frame());
--- a/mesh/src/test/java/firwheel/mesh/MeshTest.java
+++ b/mesh/src/test/java/firwheel/mesh/MeshTest.java
@@ -128,6 +128,38 @@
         }
     }
 
+    /** A host's clock may have been set back between the starts of two processes on it. */
+    @Nested
+    final class StartWithClockBehindEarlierProcess {
+        private static final long EARLIER_INCARNATION = 1_780_000_002_400L;
+        private static final long OWN_INCARNATION = 1_780_000_000_000L;
+
+        @Test
+        void doesNotKeepOthersFromFollowingTheNewProcess() throws Exception {
+            int port = freePort();
+            members.add(new Member("127.0.0.1", "zone-0", "entry", 1, 0));
+            members.add(new Member("127.0.0.2", "zone-0", "agent", EARLIER_INCARNATION, 17));
+            Set<Long> incarnations = ConcurrentHashMap.newKeySet();
+            Mesh other = newMesh(members.get(0), port);
+            other.onMessage(Heartbeat.class, (sender, heartbeat) -> other.membership()
+                    .alive("agent")
+                    .forEach(member -> incarnations.add(member.incarnation())));
+            other.start().join();
+            members.remove(1); // the new process learns of the earlier one only from others
+
+            newMesh(new Member("127.0.0.2", "zone-0", "agent", OWN_INCARNATION, 0), port)
+                    .start()
+                    .join();
+            long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+            while (incarnations.stream().noneMatch(seen -> seen > EARLIER_INCARNATION)
+                    && System.nanoTime() < deadlineNanos) {
+                TimeUnit.MILLISECONDS.sleep(5);
+            }
+
+            assertThat(incarnations).contains(EARLIER_INCARNATION + 1);
+        }
+    }
+
     @Nested
     final class Start {
         @Test
