The hold of a map rollout is placed by time, not eight steps ahead

The lead is now the number of steps that take 150 ms at the rate observed during the rollout, two at least and eight at most. What is not armed by then holds the group, as before.

MapRolloutTest.Lead failed before with 8 steps for 3, 6 and 2.

--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -38,14 +38,25 @@
     /**
      * Limits of a rollout.
      *
-     * @param leadSteps number of steps from the last started step to the one that is held
+     * @param maxLeadSteps maximum number of steps from the last started step to the one that is held
+     * @param leadTime time that should remain until the held step when the hold is ordered; steps of a loaded group
+     *     last long, so a fixed number of them would delay the switch
      * @param prepareLimit maximum time to load experts
      * @param holdLimit maximum time to place the hold
      * @param armLimit maximum time to arm all ranks, during which the group may be blocked
      */
-    public record Limits(long leadSteps, Duration prepareLimit, Duration holdLimit, Duration armLimit) {}
+    public record Limits(
+            long maxLeadSteps, Duration leadTime, Duration prepareLimit, Duration holdLimit, Duration armLimit) {
+        public Limits {
+            if (maxLeadSteps < MIN_LEAD_STEPS || leadTime.isNegative()) {
+                throw new IllegalArgumentException(
+                        "maxLeadSteps " + maxLeadSteps + " is below " + MIN_LEAD_STEPS + ", or leadTime is negative");
+            }
+        }
+    }
 
     private static final int[][][] NO_PLACEMENT = {};
+    private static final long MIN_LEAD_STEPS = 2; // the step after the last started one may begin at any moment
     private static final long PREPARE_RETRY_MILLIS = 300; // longer than an engine takes to report a loaded version
 
     private final Limits limits;
@@ -59,6 +70,9 @@
     private long step = RankView.NONE;
     private Phase phase;
     private long phaseStartMillis;
+    private final long firstStep;
+    private final long startMillis;
+    private long holdingStartMillis;
 
     private MapRollout(
             Limits limits,
@@ -80,6 +94,9 @@
         prepareSentMillis = new long[views.size()];
         Arrays.fill(prepareSentMillis, RankView.NONE);
         phaseStartMillis = nowMillis;
+        startMillis = nowMillis;
+        holdingStartMillis = nowMillis;
+        firstStep = lastStartedStep(views);
     }
 
     /**
@@ -146,6 +163,21 @@
         return version;
     }
 
+    /** Returns the map being rolled out: experts by layer, rank and slot. */
+    public int[][][] newPlacement() {
+        return newPlacement;
+    }
+
+    /** Returns how long the ranks took to load the experts of the new map, in milliseconds. */
+    public long loadMillis() {
+        return holdingStartMillis - startMillis;
+    }
+
+    /** Returns how long a finished rollout took after the experts had been loaded, in milliseconds. */
+    public long switchMillis() {
+        return phaseStartMillis - holdingStartMillis;
+    }
+
     /**
      * Returns the orders to send, given views of all ranks in rank order. A change of the group epoch ends the rollout.
      */
@@ -204,13 +236,25 @@
         if (hasElapsed(limits.holdLimit(), nowMillis)) {
             return startAbort(views, nowMillis);
         }
-        long lastStartedStep = views.stream().mapToLong(RankView::step).max().orElse(0);
+        long lastStartedStep = lastStartedStep(views);
         if (step == RankView.NONE || lastStartedStep >= step) {
-            step = lastStartedStep + limits.leadSteps();
+            step = lastStartedStep + leadSteps(lastStartedStep, nowMillis);
         }
         return List.of(order(holdView, Action.HOLD, RankView.NONE, step, NO_PLACEMENT));
     }
 
+    private static long lastStartedStep(List<RankView> views) {
+        return views.stream().mapToLong(RankView::step).max().orElse(0);
+    }
+
+    /** Returns the number of steps that last the lead time at the rate observed since the start of the rollout. */
+    private long leadSteps(long lastStartedStep, long nowMillis) {
+        double stepsPerMilli = (lastStartedStep - firstStep) / (double) Math.max(1, nowMillis - startMillis);
+        long steps = (long) Math.ceil(limits.leadTime().toMillis() * stepsPerMilli);
+        // The first step of the lead has already started.
+        return Math.max(MIN_LEAD_STEPS, Math.min(limits.maxLeadSteps(), steps + 1));
+    }
+
     private List<RankOrder> arm(List<RankView> views, long nowMillis) {
         if (views.get(holdRank).heldStep() != step || hasElapsed(limits.armLimit(), nowMillis)) {
             return startAbort(views, nowMillis);
@@ -326,6 +370,9 @@
     }
 
     private void enter(Phase next, long nowMillis) {
+        if (phase == Phase.PREPARING) {
+            holdingStartMillis = nowMillis;
+        }
         phase = next;
         phaseStartMillis = nowMillis;
     }
--- a/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
+++ b/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
@@ -14,7 +14,7 @@
 final class MapRolloutTest {
     private static final int[][][] MAP = {{{0}, {1}}};
     private static final MapRollout.Limits LIMITS =
-            new MapRollout.Limits(2, Duration.ofMillis(2), Duration.ofMillis(2), Duration.ofMillis(2));
+            new MapRollout.Limits(2, Duration.ZERO, Duration.ofMillis(2), Duration.ofMillis(2), Duration.ofMillis(2));
 
     @Nested
     final class WithoutFaults {
@@ -49,6 +49,48 @@
         }
     }
 
+    /** Demand shifts within seconds, so a new map is of little use if its switch waits for many long steps. */
+    @Nested
+    final class Lead {
+        private static final int MAX_LEAD_STEPS = 8;
+        private static final Duration LEAD_TIME = Duration.ofMillis(150);
+
+        /** Returns by how many steps the hold is ahead after an observation of steps of equal duration. */
+        private long orderedLeadSteps(int observedSteps, int stepMillis) {
+            MapRollout.Limits limits = new MapRollout.Limits(
+                    MAX_LEAD_STEPS, LEAD_TIME, Duration.ofSeconds(4), Duration.ofSeconds(1), Duration.ofSeconds(1));
+            GroupModel group = new GroupModel(2);
+            MapRollout rollout = MapRollout.start(limits, group.views(), 1, 1, MAP, MAP, 0);
+            rollout.nextOrders(group.views(), 0).forEach(group::execute);
+            for (int started = 0; started < observedSteps; started++) {
+                group.startStep();
+            }
+            List<RankOrder> orders = rollout.nextOrders(group.views(), (long) observedSteps * stepMillis);
+            assertThat(orders).singleElement().matches(order -> order.action() == RankOrder.Action.HOLD);
+            return orders.get(0).step() - group.views().get(0).step();
+        }
+
+        @Test
+        void lastsTheLeadTimeWithLongSteps() {
+            assertThat(orderedLeadSteps(10, 100)).isEqualTo(3);
+        }
+
+        @Test
+        void hasMoreStepsWhenTheyAreShort() {
+            assertThat(orderedLeadSteps(20, 30)).isEqualTo(6);
+        }
+
+        @Test
+        void isLimitedWithVeryShortSteps() {
+            assertThat(orderedLeadSteps(100, 5)).isEqualTo(MAX_LEAD_STEPS);
+        }
+
+        @Test
+        void isShortInAnIdleGroup() {
+            assertThat(orderedLeadSteps(0, 100)).isEqualTo(2);
+        }
+    }
+
     /**
      * Explores the schedules of two ranks. Each order is executed immediately or later, possibly only during recovery,
      * with at most two delayed orders per schedule; steps start at any time unless held; the controller fails at most
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -85,9 +85,10 @@
     private static final int MAX_INCOMPLETE_READS = 8; // if calls time out, about as long as a hold may block the group
     private static final MapRollout.Limits ROLLOUT_LIMITS = new MapRollout.Limits(
             8,
+            Duration.ofMillis(150), // four exchanges with all ranks: hold, arm, commit, release
             Duration.ofSeconds(4),
             Duration.ofMillis(600),
-            Duration.ofMillis(400)); // arming ends before the group reaches the held step
+            Duration.ofMillis(400)); // bounds how long the group is blocked if arming takes longer than the lead
     private static final Logger logger = LoggerFactory.getLogger(MapController.class);
 
     private final Vertx vertx;
@@ -393,21 +394,7 @@
 
     private CompletableFuture<Void> sendOrders(MapRollout active, List<RankOrder> orders) {
         if (active.finished()) {
-            boolean switched = active.phase() == MapRollout.Phase.DONE;
-            if (takeoverComplete || switched) {
-                environment.metrics().countRollout(switched);
-                Events.log(
-                        logger,
-                        switched ? EventCode.MAP_COMMITTED : EventCode.MAP_ABORTED,
-                        "group",
-                        group,
-                        "version",
-                        active.version(),
-                        "state",
-                        active.toString());
-            }
-            takeoverComplete = true;
-            rollout = null;
+            onRolloutFinished(active);
             return CompletableFuture.completedFuture(null);
         }
         List<CompletableFuture<Boolean>> calls = new ArrayList<>();
@@ -415,6 +402,28 @@
         return allOf(calls).thenApply(done -> null);
     }
 
+    private void onRolloutFinished(MapRollout finished) {
+        boolean switched = finished.phase() == MapRollout.Phase.DONE;
+        if (takeoverComplete || switched) {
+            environment.metrics().countRollout(switched);
+            Events.log(
+                    logger,
+                    switched ? EventCode.MAP_COMMITTED : EventCode.MAP_ABORTED,
+                    "group",
+                    group,
+                    "version",
+                    finished.version(),
+                    "loadMillis",
+                    finished.loadMillis(),
+                    "switchMillis",
+                    finished.switchMillis(),
+                    "state",
+                    finished.toString());
+        }
+        takeoverComplete = true;
+        rollout = null;
+    }
+
     private CompletableFuture<Boolean> sendOrder(MapRollout active, RankOrder order) {
         RankClient.Route rank = ranks.get(order.rank());
         if (rank == null) {
