A controller plans from the map that it has rolled out, without reading it again

It knows the map, since every rank was seen armed for it.

MapControllerTest.Switching.doesNotReadPlacementThatItHasJustRolledOut failed before.

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -420,6 +420,11 @@
                     "state",
                     finished.toString());
         }
+        if (switched) {
+            currentPlacement = finished.newPlacement();
+            currentVersion = finished.version();
+            placementKnown = true;
+        }
         takeoverComplete = true;
         rollout = null;
     }
--- a/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
+++ b/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
@@ -19,6 +19,9 @@
     private long epoch = 1;
     private boolean hasRequests = true;
     private boolean mapsDiverged;
+    private boolean placementHidden;
+    private int placementReads;
+    private int placementReadsAtSwitch;
 
     FakeGroup(int ranks, int experts) {
         this(ranks, 1, experts);
@@ -129,7 +132,18 @@
     }
 
     private synchronized int[][] placed(int rank) {
-        return placement[rank];
+        placementReads++;
+        return placementHidden ? new int[0][] : placement[rank];
+    }
+
+    /** Makes the engines report no experts, so that no controller learns the placement. */
+    synchronized void hidePlacement() {
+        placementHidden = true;
+    }
+
+    /** Returns how often the experts of a rank were read since the latest switch to a new map. */
+    synchronized int placementReadsSinceSwitch() {
+        return placementReads - placementReadsAtSwitch;
     }
 
     private void startStepUnlessHeld() {
@@ -142,6 +156,7 @@
         for (int rank = 0; rank < map.length; rank++) {
             if (armed[rank] != RankView.NONE && armedStep[rank] == step) {
                 map[rank] = armed[rank];
+                placementReadsAtSwitch = placementReads;
                 armed[rank] = RankView.NONE;
                 armedStep[rank] = RankView.NONE;
                 for (int layer = 0; layer < placement[rank].length; layer++) {
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -15,7 +15,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -36,8 +35,8 @@
     private final FakeGroup group = new FakeGroup(RANKS, 12);
     private final AtomicLong terms = new AtomicLong();
     private final Set<EngineAddress> engines = Set.of(engine(0), engine(1), engine(2));
-    private final Map<Integer, MapPolicy> policies =
-            Map.of(0, new MapPolicy(1, 12, 6, 3), 1, new MapPolicy(1, 12, 6, 3), 2, new MapPolicy(1, 12, 6, 3));
+    private final List<MapPolicy> policies =
+            List.of(new MapPolicy(1, 12, 6, 3), new MapPolicy(1, 12, 6, 3), new MapPolicy(1, 12, 6, 3));
     private final List<Integer> winners = new CopyOnWriteArrayList<>();
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
     private final List<MapController.RankLoad> loads = new CopyOnWriteArrayList<>();
@@ -189,6 +188,20 @@
             assertThat(loads.get(0).state().waiting()).isEqualTo(2);
         }
 
+        /** Reading the placement again would delay the next map by a reading. */
+        @Test
+        void doesNotReadPlacementThatItHasJustRolledOut() throws Exception {
+            int port = freePort();
+            for (int rank = 0; rank < RANKS; rank++) {
+                startRank(rank, port);
+            }
+            awaitSwitch();
+
+            awaitReports(4);
+
+            assertThat(group.placementReadsSinceSwitch()).isZero();
+        }
+
         /**
          * Without the earlier load, the group would run several times slower on its initial map until load is measured
          * again.
