Selections reported after a rollout count in full

Agents report how often each expert was selected since their last report, and none is read during a rollout. The first report after it therefore covers the whole rollout, but was dropped if the placement was not known yet, and counted no more than one of 250 ms. Reports are recorded in any state of the group and weigh by the time that they cover.

MapControllerTest.Switching.recordsSelectionsWhilePlacementIsUnknown failed before.

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -110,6 +110,7 @@
     private int[][][] currentPlacement = {};
     private int incompleteReads;
     private long lastReportNanos;
+    private long lastSelectionsNanos;
     private Duration electionTimeout = INITIAL_ELECTION_TIMEOUT;
     private boolean placementKnown;
     private long currentVersion = RankView.NONE;
@@ -268,6 +269,7 @@
     }
 
     private ReadingLog.Outcome evaluate(Map<Integer, RankCall.Reading> readings, int size) {
+        recordSelections(readings);
         List<RankView> views = GroupReadings.views(readings, size);
         if (views.isEmpty()) {
             return ReadingLog.Outcome.INCOMPLETE;
@@ -301,16 +303,25 @@
         return planMap(readings, views);
     }
 
-    private ReadingLog.Outcome planMap(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
+    /**
+     * Agents report the selections since their last report only once, so these are recorded whatever else is known of
+     * the group. Those of before it was formed again are the best estimate for its first map.
+     */
+    private void recordSelections(Map<Integer, RankCall.Reading> readings) {
         MapPolicy policy = environment.policy().get();
         long[] selections = GroupReadings.selections(readings);
+        if (policy != null && selections.length > 0) {
+            long now = time.monotonicNanos();
+            policy.onSelections(selections, Duration.ofNanos(now - lastSelectionsNanos));
+            lastSelectionsNanos = now;
+        }
+    }
+
+    private ReadingLog.Outcome planMap(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
+        MapPolicy policy = environment.policy().get();
         if (policy == null) {
             return ReadingLog.Outcome.NO_POLICY;
         }
-        // After the group was formed again, the load measured before it is the best estimate for its first map.
-        if (selections.length > 0) {
-            policy.onSelections(selections);
-        }
         double[] slowdowns = GroupReadings.slowdowns(readings, views.size());
         double imbalance = policy.imbalance(currentPlacement, slowdowns);
         environment.metrics().setMap(currentVersion, epoch, imbalance);
--- a/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
@@ -8,6 +8,7 @@
 import firwheel.experts.plan.PlanPrices;
 import firwheel.experts.plan.PlanningInput;
 import firwheel.experts.plan.RankCondition;
+import java.time.Duration;
 import java.util.Arrays;
 import org.jspecify.annotations.Nullable;
 
@@ -16,7 +17,8 @@
  * exponentially weighted mean, because demand shifts within seconds. Does no I/O.
  */
 public final class MapPolicy {
-    private static final double UPDATE_WEIGHT = 0.4; // a shift of demand dominates the estimate after a second
+    private static final double HALF_LIFE_MILLIS = 340; // a shift of demand dominates the estimate after half a second
+    private static final Duration MIN_INTERVAL = Duration.ofMillis(250); // selections of less time are mostly noise
     private static final double MIN_IMPROVEMENT = 0.12; // steps are 15% slower while experts are loaded
     private static final double MIN_IMPROVEMENT_PER_LOAD = 0.01; // of a rank's mean load; loading slows down steps
     private static final double MIN_SELECTIONS_PER_EXPERT =
@@ -58,8 +60,9 @@
      * Updates the load estimate. Ignores intervals with too few selections.
      *
      * @param selections how often each expert was selected since the last call, over all ranks, by layer and expert
+     * @param interval time since the last call, which determines the weight of the selections
      */
-    public void onSelections(long[] selections) {
+    public void onSelections(long[] selections, Duration interval) {
         double[][] byLayer = new double[layers][experts];
         double total = 0;
         for (int layer = 0; layer < layers; layer++) {
@@ -77,7 +80,12 @@
                 layerLoad[expert] *= scale;
             }
         }
-        estimate = estimate == null ? LoadEstimate.of(byLayer) : estimate.updated(byLayer, UPDATE_WEIGHT);
+        estimate = estimate == null ? LoadEstimate.of(byLayer) : estimate.updated(byLayer, updateWeight(interval));
+    }
+
+    private static double updateWeight(Duration interval) {
+        double halfLives = Math.max(interval.toMillis(), MIN_INTERVAL.toMillis()) / HALF_LIFE_MILLIS;
+        return 1 - Math.pow(0.5, halfLives);
     }
 
     /**
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -202,6 +202,20 @@
             assertThat(group.placementReadsSinceSwitch()).isZero();
         }
 
+        /** Agents report each selection once, so what is not recorded is missing from the first plan. */
+        @Test
+        void recordsSelectionsWhilePlacementIsUnknown() throws Exception {
+            group.hidePlacement();
+            startRank(0, freePort());
+            awaitReports(6);
+
+            assertThat(policies.get(0)
+                            .imbalance(
+                                    new int[][][] {{{0, 1, 2, 3}, {4, 5, 6, 7}, {8, 9, 10, 11}}},
+                                    new double[] {1, 1, 1}))
+                    .isGreaterThan(2);
+        }
+
         /**
          * Without the earlier load, the group would run several times slower on its initial map until load is measured
          * again.
--- a/rebalance/src/test/java/firwheel/rebalance/MapPolicyTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapPolicyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
@@ -14,6 +15,7 @@
     private static final int SLOTS_PER_RANK = 8;
     private static final int SPARE_SLOTS = 3;
     private static final long MAX_SELECTIONS = 100_000;
+    private static final Duration READ_INTERVAL = Duration.ofMillis(250);
 
     private final MapPolicy policy = new MapPolicy(LAYERS, EXPERTS, SLOTS_PER_RANK, SPARE_SLOTS);
 
@@ -52,7 +54,7 @@
     final class Plans {
         @Test
         void balanceSkewedLoad() {
-            policy.onSelections(skewedSelections(1));
+            policy.onSelections(skewedSelections(1), READ_INTERVAL);
 
             int[][][] plan = planOrCurrent(contiguousPlacement(), nominalSpeed());
 
@@ -61,7 +63,7 @@
 
         @Test
         void respectSlotLimitsAndKeepEveryExpert() {
-            policy.onSelections(skewedSelections(2));
+            policy.onSelections(skewedSelections(2), READ_INTERVAL);
             int[][][] current = contiguousPlacement();
 
             int[][][] plan = planOrCurrent(current, nominalSpeed());
@@ -83,6 +85,22 @@
         }
     }
 
+    /** While a map is rolled out no selections are read, so those of the whole rollout arrive together after it. */
+    @Nested
+    final class ShiftDuringRollout {
+        @Test
+        void dominatesTheEstimateAtOnce() {
+            policy.onSelections(skewedSelections(1), READ_INTERVAL);
+            policy.onSelections(skewedSelections(2), Duration.ofMillis(1_300));
+            int[][][] plan = planOrCurrent(contiguousPlacement(), nominalSpeed());
+
+            MapPolicy afterShift = new MapPolicy(LAYERS, EXPERTS, SLOTS_PER_RANK, SPARE_SLOTS);
+            afterShift.onSelections(skewedSelections(2), READ_INTERVAL);
+
+            assertThat(afterShift.imbalance(plan, nominalSpeed())).isLessThan(1.3);
+        }
+    }
+
     /** All ranks wait for the slowest one in each layer, so a slow rank must get little load. */
     @Nested
     final class SlowRank {
@@ -96,7 +114,7 @@
 
         @Test
         void isUnloadedWithinTwoRounds() {
-            policy.onSelections(skewedSelections(3));
+            policy.onSelections(skewedSelections(3), READ_INTERVAL);
             int[][][] balanced = planOrCurrent(contiguousPlacement(), nominalSpeed());
             double before = policy.imbalance(balanced, oneSlowRank());
 
@@ -108,7 +126,7 @@
 
         @Test
         void regainsLoadOnceItIsNominal() {
-            policy.onSelections(skewedSelections(3));
+            policy.onSelections(skewedSelections(3), READ_INTERVAL);
             int[][][] unloaded = planOrCurrent(planOrCurrent(contiguousPlacement(), oneSlowRank()), oneSlowRank());
 
             int[][][] back = planOrCurrent(planOrCurrent(unloaded, nominalSpeed()), nominalSpeed());
