Selections are read while experts are loaded, and at once after a switch

A rollout takes half a second to a second, mostly to load experts. Selections are read every 250 ms while experts are loaded, the first reading after a switch follows at once, and the half-life of the estimate is 170 ms in place of 340 ms.

MapControllerTest.Switching.readsSelectionsWhileExpertsAreLoaded fails without the change: none are read.

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -107,6 +107,7 @@
     private boolean takeoverComplete;
     private long usedVersions;
     private @Nullable MapRollout rollout;
+    private boolean rolloutFinished;
     private int[][][] currentPlacement = {};
     private int incompleteReads;
     private long lastReportNanos;
@@ -160,6 +161,11 @@
         if (active != null) {
             return (active.mayBlockGroup() ? HOLD_INTERVAL : LOADING_INTERVAL).toMillis();
         }
+        if (rolloutFinished) {
+            // The selections made during the rollout are read at once, since demand may have shifted meanwhile.
+            rolloutFinished = false;
+            return MIN_READ_PAUSE.toMillis();
+        }
         return Math.max(MIN_READ_PAUSE.toMillis(), READ_INTERVAL.toMillis() - iterationMillis);
     }
 
@@ -310,11 +316,11 @@
     private void recordSelections(Map<Integer, RankCall.Reading> readings) {
         MapPolicy policy = environment.policy().get();
         long[] selections = GroupReadings.selections(readings);
+        long now = time.monotonicNanos();
         if (policy != null && selections.length > 0) {
-            long now = time.monotonicNanos();
             policy.onSelections(selections, Duration.ofNanos(now - lastSelectionsNanos));
-            lastSelectionsNanos = now;
         }
+        lastSelectionsNanos = now;
     }
 
     private ReadingLog.Outcome planMap(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
@@ -361,8 +367,13 @@
     private CompletableFuture<Void> advanceRollout(MapRollout active) {
         long startedNanos = time.monotonicNanos();
         List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
-        RankCall.Read read = new RankCall.Read(term, false, false);
-        ranks.values().forEach(rank -> calls.add(client.readRank(rank, read, readOptions(active))));
+        Set<String> sampled = selectionsDue(active)
+                ? selectionSampling.next(environment.agentIps().get())
+                : Set.of();
+        ranks.values().forEach(rank -> {
+            boolean selections = !sampled.isEmpty() && (rank.isLocal() || sampled.contains(rank.agentIp()));
+            calls.add(client.readRank(rank, new RankCall.Read(term, selections, false), readOptions(active)));
+        });
         return allOf(calls).thenCompose(answers -> {
             Map<Integer, RankCall.Reading> readings = new HashMap<>();
             for (RankClient.Answer answer : answers) {
@@ -371,6 +382,9 @@
                     readings.put(reading.state().view().rank(), reading);
                 }
             }
+            if (!sampled.isEmpty()) {
+                recordSelections(readings);
+            }
             // Engines are read directly only while a hold may block the group.
             report(readings, active.mayBlockGroup() ? environment.knownEngines().get() : Set.of());
             List<RankView> views = GroupReadings.views(readings, ranks.size());
@@ -385,6 +399,12 @@
         });
     }
 
+    /** Selections are read while experts are loaded, so that the next map is planned from recent demand. */
+    private boolean selectionsDue(MapRollout active) {
+        return active.phase() == MapRollout.Phase.PREPARING
+                && time.monotonicNanos() - lastSelectionsNanos >= READ_INTERVAL.toNanos();
+    }
+
     private CompletableFuture<Void> onIncompleteRead(MapRollout active) {
         if (++incompleteReads >= MAX_INCOMPLETE_READS) {
             Events.log(
@@ -438,6 +458,7 @@
         }
         takeoverComplete = true;
         rollout = null;
+        rolloutFinished = true;
     }
 
     private CompletableFuture<Boolean> sendOrder(MapRollout active, RankOrder order) {
--- a/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
@@ -17,8 +17,7 @@
  * exponentially weighted mean, because demand shifts within seconds. Does no I/O.
  */
 public final class MapPolicy {
-    private static final double HALF_LIFE_MILLIS = 340; // a shift of demand dominates the estimate after half a second
-    private static final Duration MIN_INTERVAL = Duration.ofMillis(250); // selections of less time are mostly noise
+    private static final double HALF_LIFE_MILLIS = 170; // a shift of demand dominates the estimate after one reading
     private static final double MIN_IMPROVEMENT = 0.12; // steps are 15% slower while experts are loaded
     private static final double MIN_IMPROVEMENT_PER_LOAD = 0.01; // of a rank's mean load; loading slows down steps
     private static final double MIN_SELECTIONS_PER_EXPERT =
@@ -84,7 +83,7 @@
     }
 
     private static double updateWeight(Duration interval) {
-        double halfLives = Math.max(interval.toMillis(), MIN_INTERVAL.toMillis()) / HALF_LIFE_MILLIS;
+        double halfLives = interval.toMillis() / HALF_LIFE_MILLIS;
         return 1 - Math.pow(0.5, halfLives);
     }
 
--- a/rebalance/src/main/java/firwheel/rebalance/RankClient.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankClient.java
@@ -35,7 +35,11 @@
     private final Map<String, Long> agentFailedNanos = new HashMap<>();
 
     /** Agent and engine of a rank. An empty {@code agentIp} is the local agent. */
-    record Route(String agentIp, EngineAddress engine) {}
+    record Route(String agentIp, EngineAddress engine) {
+        boolean isLocal() {
+            return agentIp.isEmpty();
+        }
+    }
 
     /** Reading of a rank, null if it failed, and the IP address of its agent; an empty one is the local agent. */
     record Answer(String agentIp, RankCall.@Nullable Reading reading) {}
@@ -109,7 +113,7 @@
 
     /** Reads the state of a rank. */
     CompletableFuture<Answer> readRank(Route rank, RankCall.Read read, CallOptions options) {
-        if (rank.agentIp().isEmpty()) {
+        if (rank.isLocal()) {
             return emptyOnError(rank.engine(), readLocal(read));
         }
         if (options.mayBypassAgent() && isAgentUnresponsive(rank.agentIp())) {
@@ -127,7 +131,7 @@
     /** Sends an order to a rank; completes with whether the engine accepted it. */
     CompletableFuture<Boolean> sendOrder(Route rank, long term, RankOrder order, CallOptions options) {
         RankCall.Order call = RankCall.Order.of(term, order);
-        if (rank.agentIp().isEmpty()) {
+        if (rank.isLocal()) {
             return falseOnError(order, localAgent.forwardOrder(call).thenApply(RankCall.OrderReply::taken));
         }
         Supplier<CompletableFuture<Boolean>> sendDirectly =
--- a/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
+++ b/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
@@ -20,6 +20,8 @@
     private boolean hasRequests = true;
     private boolean mapsDiverged;
     private boolean placementHidden;
+    private boolean loadingNeverEnds;
+    private int selectionReads;
     private int placementReads;
     private int placementReadsAtSwitch;
 
@@ -118,13 +120,15 @@
 
     private synchronized EngineState reportState(int rank) {
         startStepUnlessHeld();
-        RankView view = new RankView(
-                rank, epoch, true, step, map[rank], prepared[rank], armed[rank], armedStep[rank], held[rank]);
+        long loaded = loadingNeverEnds && loadsExperts(rank) ? RankView.NONE : prepared[rank];
+        RankView view =
+                new RankView(rank, epoch, true, step, map[rank], loaded, armed[rank], armedStep[rank], held[rank]);
         return new EngineState(7, "g", map.length, view, 1, 2, 3, 1);
     }
 
     /** Selects the initial experts of the first rank ten times as often as all others. */
     private synchronized long[] selectionCounts() {
+        selectionReads++;
         for (int i = 0; hasRequests && i < counts.length; i++) {
             counts[i] += i % experts < experts / map.length ? 5_000 : 500;
         }
@@ -136,6 +140,33 @@
         return placementHidden ? new int[0][] : placement[rank];
     }
 
+    /** Makes the engines load the experts of a new map without end. */
+    synchronized void neverFinishLoading() {
+        loadingNeverEnds = true;
+    }
+
+    synchronized boolean isLoading() {
+        return loadingNeverEnds
+                && java.util.stream.IntStream.range(0, map.length).anyMatch(this::loadsExperts);
+    }
+
+    /** Returns whether the map prepared last places other experts on the rank than the one in use. */
+    private boolean loadsExperts(int rank) {
+        if (prepared[rank] == RankView.NONE) {
+            return false;
+        }
+        boolean loads = false;
+        for (int layer = 0; layer < placement[rank].length; layer++) {
+            loads |= !java.util.Arrays.equals(preparedPlacement[rank][layer][rank], placement[rank][layer]);
+        }
+        return loads;
+    }
+
+    /** Returns how often the expert selections of a rank were read. */
+    synchronized int selectionReads() {
+        return selectionReads;
+    }
+
     /** Makes the engines report no experts, so that no controller learns the placement. */
     synchronized void hidePlacement() {
         placementHidden = true;
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -35,8 +35,7 @@
     private final FakeGroup group = new FakeGroup(RANKS, 12);
     private final AtomicLong terms = new AtomicLong();
     private final Set<EngineAddress> engines = Set.of(engine(0), engine(1), engine(2));
-    private final List<MapPolicy> policies =
-            List.of(new MapPolicy(1, 12, 6, 3), new MapPolicy(1, 12, 6, 3), new MapPolicy(1, 12, 6, 3));
+    private final List<MapPolicy> policies = List.of(new MapPolicy(1, 12, 6, 3), new MapPolicy(1, 12, 6, 3), new MapPolicy(1, 12, 6, 3));
     private final List<Integer> winners = new CopyOnWriteArrayList<>();
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
     private final List<MapController.RankLoad> loads = new CopyOnWriteArrayList<>();
@@ -202,6 +201,26 @@
             assertThat(group.placementReadsSinceSwitch()).isZero();
         }
 
+        /** Demand may shift while experts are loaded, and the next map is planned right after the switch. */
+        @Test
+        void readsSelectionsWhileExpertsAreLoaded() throws Exception {
+            group.neverFinishLoading();
+            int port = freePort();
+            for (int rank = 0; rank < RANKS; rank++) {
+                startRank(rank, port);
+            }
+            long deadlineNanos =
+                    System.nanoTime() + Duration.ofSeconds(TIMEOUT_SECONDS).toNanos();
+            while (!group.isLoading() && System.nanoTime() < deadlineNanos) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            int readsBefore = group.selectionReads();
+
+            awaitReports(4);
+
+            assertThat(group.selectionReads()).isGreaterThan(readsBefore);
+        }
+
         /** Agents report each selection once, so what is not recorded is missing from the first plan. */
         @Test
         void recordsSelectionsWhilePlacementIsUnknown() throws Exception {
