The time to load experts is weighed against the gain of a map

On an engine with large experts a rank takes 98 ms to load one, and up to twelve of them came one after another: a map took more than a second, with steps 15% slower, and was outdated by then. Where loading takes more than 200 ms, the policy also plans with fewer loads for each rank and layer and takes the plan with the least work until a horizon of two seconds.

--- a/proxy/src/main/java/firwheel/proxy/config/EngineConfig.java
+++ b/proxy/src/main/java/firwheel/proxy/config/EngineConfig.java
@@ -1,5 +1,7 @@
 package firwheel.proxy.config;
 
+import java.time.Duration;
+
 /**
  * Performance and capacity parameters of a service's model engine, as published in the configuration.
  *
@@ -15,6 +17,7 @@
  * @param expertsPerLayerGroup number of experts in a layer group
  * @param expertSlotsPerRank number of experts of a layer group that one rank can hold
  * @param maxExpertsLoadedPerChange maximum number of experts of a layer group that one map change may load on a rank
+ * @param expertLoadTime time that a rank takes to load one expert
  */
 public record EngineConfig(
         int slots,
@@ -28,4 +31,5 @@
         int expertLayerGroups,
         int expertsPerLayerGroup,
         int expertSlotsPerRank,
-        int maxExpertsLoadedPerChange) {}
+        int maxExpertsLoadedPerChange,
+        Duration expertLoadTime) {}
--- a/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
@@ -26,12 +26,17 @@
     private static final long GIB = 1L << 30;
     // One step and experts of 1 GiB, so that loading an expert costs exactly the move price.
     private static final CostModel RELATIVE_COSTS = new CostModel(SECONDS_PER_TOKEN, 1, GIB, 1, 1, 0, 0, 0);
+    private static final double LOADING_SLOWDOWN = 1.15; // of steps while a rank loads experts
+    private static final Duration PLANNING_HORIZON = Duration.ofSeconds(2); // demand often shifts after a few seconds
+    private static final Duration NEGLIGIBLE_LOAD_TIME =
+            Duration.ofMillis(200); // less than the rest of a rollout; loading fewer experts would gain little
     private static final int MAX_MOVES = 10_000; // not reached, since each layer has its own limit
 
     private final int layers;
     private final int experts;
     private final int slotsPerRank;
     private final int spareSlots;
+    private final Duration expertLoadTime;
     private final IncrementalPlanner planner = new IncrementalPlanner();
     private @Nullable LoadEstimate estimate;
 
@@ -42,12 +47,14 @@
      * @param experts number of experts per layer
      * @param slotsPerRank number of experts per layer that fit on a rank
      * @param spareSlots number of experts per layer that a rank can load in one rollout
+     * @param expertLoadTime time that a rank takes to load one expert
      */
-    public MapPolicy(int layers, int experts, int slotsPerRank, int spareSlots) {
+    public MapPolicy(int layers, int experts, int slotsPerRank, int spareSlots, Duration expertLoadTime) {
         this.layers = layers;
         this.experts = experts;
         this.slotsPerRank = slotsPerRank;
         this.spareSlots = spareSlots;
+        this.expertLoadTime = expertLoadTime;
     }
 
     /** Discards the load estimate. */
@@ -89,6 +96,8 @@
 
     /**
      * Returns a better placement by layer, rank and slot, or null if the improvement over the current one is too small.
+     * Ranks load their experts at the same time, one after another, so where this takes long, a placement for which
+     * each rank loads few may be better than the most even one.
      *
      * @param current placement in use
      * @param slowdowns time of each rank for a unit of work relative to nominal speed; all ranks wait for the slowest
@@ -98,9 +107,29 @@
         if (load == null) {
             return null;
         }
+        double before = sumOfSlowestLoads(current, slowdowns, load);
+        double lowestWork = before * PLANNING_HORIZON.toMillis();
+        int[][][] best = null;
+        for (int loadsPerLayer = spareSlots; loadsPerLayer > 0; loadsPerLayer--) {
+            int[][][] placement = planWithin(loadsPerLayer, current, slowdowns, load);
+            double after = sumOfSlowestLoads(placement, slowdowns, load);
+            long loadMillis = expertLoadTime.toMillis() * maxLoadedExperts(current, placement);
+            double work = workUntilHorizon(before, after, loadMillis);
+            if (after < before * (1 - MIN_IMPROVEMENT) && work < lowestWork) {
+                best = placement;
+                lowestWork = work;
+            }
+            if (loadMillis <= NEGLIGIBLE_LOAD_TIME.toMillis()) {
+                break;
+            }
+        }
+        return best;
+    }
+
+    private int[][][] planWithin(int loadsPerLayer, int[][][] current, double[] slowdowns, LoadEstimate load) {
         ExpertMap map = ExpertMap.of(experts, padded(current));
         int ranks = map.ranks();
-        PlanLimits limits = new PlanLimits(MAX_MOVES, spareSlots * ranks, spareSlots, 1);
+        PlanLimits limits = new PlanLimits(MAX_MOVES, loadsPerLayer * ranks, loadsPerLayer, 1);
         PlanningInput input = new PlanningInput(
                 map,
                 load,
@@ -115,9 +144,29 @@
         for (int layer = 0; layer < layers; layer++) {
             placement[layer] = withoutEmptySlots(planned.layer(layer));
         }
-        double before = sumOfSlowestLoads(current, slowdowns, load);
-        double after = sumOfSlowestLoads(placement, slowdowns, load);
-        return after < before * (1 - MIN_IMPROVEMENT) ? placement : null;
+        return placement;
+    }
+
+    /** Returns the work done by the slowest ranks if the load does not change until the planning horizon. */
+    private static double workUntilHorizon(double before, double after, long loadMillis) {
+        long loadingMillis = Math.min(loadMillis, PLANNING_HORIZON.toMillis());
+        return before * LOADING_SLOWDOWN * loadingMillis + after * (PLANNING_HORIZON.toMillis() - loadingMillis);
+    }
+
+    /** Returns how many experts, over all layers, the rank with the most of them has to load. */
+    private static int maxLoadedExperts(int[][][] current, int[][][] planned) {
+        int max = 0;
+        for (int rank = 0; rank < planned[0].length; rank++) {
+            int loaded = 0;
+            for (int layer = 0; layer < planned.length; layer++) {
+                int[] held = current[layer][rank];
+                loaded += (int) Arrays.stream(planned[layer][rank])
+                        .filter(expert -> Arrays.stream(held).noneMatch(old -> old == expert))
+                        .count();
+            }
+            max = Math.max(max, loaded);
+        }
+        return max;
     }
 
     /**
--- a/rebalance/src/test/java/firwheel/rebalance/LargeGroupTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/LargeGroupTest.java
@@ -27,6 +27,7 @@
     private static final int LAYERS = 8;
     private static final int EXPERTS = 252;
     private static final int SLOTS_PER_RANK = 5;
+    private static final Duration EXPERT_LOAD_TIME = Duration.ofMillis(5);
     private static final int SPARE_SLOTS = 2;
     private static final long LINK_BYTES_PER_SECOND = 700_000; // 5.6 Mbit/s
     private static final int FIRST_ENGINE_PORT = 9_000;
@@ -52,7 +53,7 @@
                     .join();
             otherAgents.add(ip(rank));
         }
-        MapPolicy policy = new MapPolicy(LAYERS, EXPERTS, SLOTS_PER_RANK, SPARE_SLOTS);
+        MapPolicy policy = new MapPolicy(LAYERS, EXPERTS, SLOTS_PER_RANK, SPARE_SLOTS, EXPERT_LOAD_TIME);
         MapController controller = new MapController(
                 vertx,
                 TimeSource.system(),
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -35,7 +35,7 @@
     private final FakeGroup group = new FakeGroup(RANKS, 12);
     private final AtomicLong terms = new AtomicLong();
     private final Set<EngineAddress> engines = Set.of(engine(0), engine(1), engine(2));
-    private final List<MapPolicy> policies = List.of(new MapPolicy(1, 12, 6, 3), new MapPolicy(1, 12, 6, 3), new MapPolicy(1, 12, 6, 3));
+    private final List<MapPolicy> policies = List.of(newPolicy(), newPolicy(), newPolicy());
     private final List<Integer> winners = new CopyOnWriteArrayList<>();
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
     private final List<MapController.RankLoad> loads = new CopyOnWriteArrayList<>();
@@ -52,6 +52,10 @@
         vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 
+    private static MapPolicy newPolicy() {
+        return new MapPolicy(1, 12, 6, 3, Duration.ofMillis(5));
+    }
+
     private static EngineAddress engine(int rank) {
         return new EngineAddress(ip(rank), FIRST_ENGINE_PORT + rank);
     }
