The lead of a hold follows how long calls of all ranks take

The lead is now four times the latest reading of all ranks, 100 ms at least.

MapRolloutTest.Lead.lastsAsLongAsTheExchangesOfALargeGroup needs the new method.

--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -39,8 +39,8 @@
      * Limits of a rollout.
      *
      * @param maxLeadSteps maximum number of steps from the last started step to the one that is held
-     * @param leadTime time that should remain until the held step when the hold is ordered; steps of a loaded group
-     *     last long, so a fixed number of them would delay the switch
+     * @param leadTime minimum time from the order of the hold until the held step; steps of a loaded group last long,
+     *     so a fixed number of them would delay the switch
      * @param prepareLimit maximum time to load experts
      * @param holdLimit maximum time to place the hold
      * @param armLimit maximum time to arm all ranks, during which the group may be blocked
@@ -53,9 +53,22 @@
                         "maxLeadSteps " + maxLeadSteps + " is below " + MIN_LEAD_STEPS + ", or leadTime is negative");
             }
         }
+
+        /**
+         * Returns these limits with a lead time that is long enough to arm all ranks before the held step.
+         *
+         * @param exchangeTime time to call all ranks once
+         */
+        public Limits withExchangeTime(Duration exchangeTime) {
+            Duration switchTime = exchangeTime.multipliedBy(EXCHANGES_PER_SWITCH);
+            return switchTime.compareTo(leadTime) <= 0
+                    ? this
+                    : new Limits(maxLeadSteps, switchTime, prepareLimit, holdLimit, armLimit);
+        }
     }
 
     private static final int[][][] NO_PLACEMENT = {};
+    private static final int EXCHANGES_PER_SWITCH = 4; // read the hold, arm, read the armed ranks, arm the hold rank
     private static final long MIN_LEAD_STEPS = 2; // the step after the last started one may begin at any moment
     private static final long PREPARE_RETRY_MILLIS = 300; // longer than an engine takes to report a loaded version
 
@@ -67,11 +80,11 @@
     private final long[] prepareSentMillis;
     private final long version;
     private final long invalidatingVersion;
+    private final long firstStep;
+    private final long startMillis;
     private long step = RankView.NONE;
     private Phase phase;
     private long phaseStartMillis;
-    private final long firstStep;
-    private final long startMillis;
     private long holdingStartMillis;
 
     private MapRollout(
--- a/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
+++ b/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
@@ -80,6 +80,15 @@
             assertThat(orderedLeadSteps(20, 30)).isEqualTo(6);
         }
 
+        /** Steps that are held wait for the exchanges, and all streams pause meanwhile. */
+        @Test
+        void lastsAsLongAsTheExchangesOfALargeGroup() {
+            MapRollout.Limits limits = LIMITS.withExchangeTime(Duration.ofMillis(60));
+
+            assertThat(limits.leadTime()).isEqualTo(Duration.ofMillis(240));
+            assertThat(limits.withExchangeTime(Duration.ofMillis(10))).isEqualTo(limits);
+        }
+
         @Test
         void isLimitedWithVeryShortSteps() {
             assertThat(orderedLeadSteps(100, 5)).isEqualTo(MAX_LEAD_STEPS);
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -85,7 +85,7 @@
     private static final int MAX_INCOMPLETE_READS = 8; // if calls time out, about as long as a hold may block the group
     private static final MapRollout.Limits ROLLOUT_LIMITS = new MapRollout.Limits(
             8,
-            Duration.ofMillis(150), // four exchanges with all ranks: hold, arm, commit, release
+            Duration.ofMillis(100), // more if calls of all ranks take long
             Duration.ofSeconds(4),
             Duration.ofMillis(600),
             Duration.ofMillis(400)); // bounds how long the group is blocked if arming takes longer than the lead
@@ -112,6 +112,7 @@
     private int incompleteReads;
     private long lastReportNanos;
     private long lastSelectionsNanos;
+    private Duration lastReadingTime = Duration.ZERO;
     private Duration electionTimeout = INITIAL_ELECTION_TIMEOUT;
     private boolean placementKnown;
     private long currentVersion = RankView.NONE;
@@ -270,6 +271,7 @@
             }
         }
         report(readings, environment.knownEngines().get());
+        lastReadingTime = Duration.ofNanos(time.monotonicNanos() - startedNanos);
         ReadingLog.Reading read = new ReadingLog.Reading(group, term, agents, readings.size(), size, startedNanos);
         readingLog.record(read, evaluate(readings, size));
     }
@@ -351,7 +353,13 @@
                 "planMillis",
                 time.monotonicMillis() - planStartedMillis);
         rollout = MapRollout.start(
-                ROLLOUT_LIMITS, views, version, views.size() - 1, planned, currentPlacement, time.monotonicMillis());
+                ROLLOUT_LIMITS.withExchangeTime(lastReadingTime),
+                views,
+                version,
+                views.size() - 1,
+                planned,
+                currentPlacement,
+                time.monotonicMillis());
         return ReadingLog.Outcome.MAP_PLANNED;
     }
 
