Agents that respond again are no longer bypassed

An agent that missed one time-out was bypassed for the rest of the bypass time even if it had answered since, so that its engine was called from another host, which is paid for. LargeGroupTest.doesNotMakeControllerBypassAgentsThatRespond failed once, in a run in which the first readings of a cold process timed out (readMillis=556, all 63 agents).

RankClientTest.AgentThatDidNotRespondOnce failed before.

--- a/rebalance/src/main/java/firwheel/rebalance/RankClient.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankClient.java
@@ -87,6 +87,7 @@
                 .thenApply(reply -> {
                     RankCall.Reading reading = RankCall.decode(reply, RankCall.Reading.class);
                     localAgent.observeTerm(reading.term());
+                    agentFailedNanos.remove(ip);
                     return new Answer(ip, reading);
                 })
                 .exceptionally(error -> {
