Fewer changes of the expert map for the same balance

The half-life is 340 ms again and the extra reading is gone; selections are still read while experts are loaded and weigh by their time.

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -107,7 +107,6 @@
     private boolean takeoverComplete;
     private long usedVersions;
     private @Nullable MapRollout rollout;
-    private boolean rolloutFinished;
     private int[][][] currentPlacement = {};
     private int incompleteReads;
     private long lastReportNanos;
@@ -162,11 +161,6 @@
         if (active != null) {
             return (active.mayBlockGroup() ? HOLD_INTERVAL : LOADING_INTERVAL).toMillis();
         }
-        if (rolloutFinished) {
-            // The selections made during the rollout are read at once, since demand may have shifted meanwhile.
-            rolloutFinished = false;
-            return MIN_READ_PAUSE.toMillis();
-        }
         return Math.max(MIN_READ_PAUSE.toMillis(), READ_INTERVAL.toMillis() - iterationMillis);
     }
 
@@ -466,7 +460,6 @@
         }
         takeoverComplete = true;
         rollout = null;
-        rolloutFinished = true;
     }
 
     private CompletableFuture<Boolean> sendOrder(MapRollout active, RankOrder order) {
--- a/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
@@ -17,7 +17,7 @@
  * exponentially weighted mean, because demand shifts within seconds. Does no I/O.
  */
 public final class MapPolicy {
-    private static final double HALF_LIFE_MILLIS = 170; // a shift of demand dominates the estimate after one reading
+    private static final double HALF_LIFE_MILLIS = 340; // a shift of demand dominates the estimate after two readings
     private static final double MIN_IMPROVEMENT = 0.12; // steps are 15% slower while experts are loaded
     private static final double MIN_IMPROVEMENT_PER_LOAD = 0.01; // of a rank's mean load; loading slows down steps
     private static final double MIN_SELECTIONS_PER_EXPERT =
