Calls during a hold may take as long as readings of the group do

While a rollout may block the group, each call had a fixed time-out of 80 ms. With 63 ranks on a busy host a reading of all took 106 ms, so that all agents were taken for unresponsive and 195 calls went to engines on other hosts, which are paid for. The time-out is now twice the latest reading, between 80 and 250 ms.

MapControllerTest.CallTimeoutDuringHold needs the new method.

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -72,7 +72,7 @@
             Duration.ofMillis(250); // the round trip between hosts is a few milliseconds
     private static final Duration PREPARE_TIMEOUT =
             Duration.ofMillis(600); // the map goes to all ranks over one link; leaves time to bypass an agent
-    private static final Duration HOLDING_CALL_TIMEOUT =
+    private static final Duration MIN_HOLDING_CALL_TIMEOUT =
             Duration.ofMillis(80); // leaves time for three lost orders between a hold and its step
     private static final Duration ELECTION_TIMEOUT =
             Duration.ofMillis(700); // two missed readings; keeps a hold by a failed controller below two seconds
@@ -470,19 +470,33 @@
         return client.sendOrder(rank, term, order, orderOptions(active, order));
     }
 
-    private static RankClient.CallOptions readOptions(MapRollout active) {
-        return new RankClient.CallOptions(
-                active.mayBlockGroup() ? HOLDING_CALL_TIMEOUT : CALL_TIMEOUT, active.mayBlockGroup());
+    private RankClient.CallOptions readOptions(MapRollout active) {
+        return new RankClient.CallOptions(callTimeout(active), active.mayBlockGroup());
+    }
+
+    private Duration callTimeout(MapRollout active) {
+        return active.mayBlockGroup() ? holdingCallTimeout(lastReadingTime) : CALL_TIMEOUT;
+    }
+
+    /**
+     * Returns the timeout of a call while the group may be blocked. Calls of all ranks of a large group take longer
+     * than the minimum, and none would be answered in time.
+     */
+    static Duration holdingCallTimeout(Duration readingTime) {
+        Duration measured = readingTime.multipliedBy(2);
+        Duration atLeastMinimum =
+                measured.compareTo(MIN_HOLDING_CALL_TIMEOUT) < 0 ? MIN_HOLDING_CALL_TIMEOUT : measured;
+        return atLeastMinimum.compareTo(CALL_TIMEOUT) > 0 ? CALL_TIMEOUT : atLeastMinimum;
     }
 
     /** Agents refuse orders of earlier terms, so only orders that end a rollout may be sent directly to engines. */
-    private static RankClient.CallOptions orderOptions(MapRollout active, RankOrder order) {
+    private RankClient.CallOptions orderOptions(MapRollout active, RankOrder order) {
         boolean endsRollout = order.action() != RankOrder.Action.ARM && order.action() != RankOrder.Action.HOLD;
         boolean mayBypassAgent = endsRollout && active.mayBlockGroup();
         if (order.action() == RankOrder.Action.PREPARE) {
             return new RankClient.CallOptions(PREPARE_TIMEOUT, mayBypassAgent);
         }
-        return new RankClient.CallOptions(active.mayBlockGroup() ? HOLDING_CALL_TIMEOUT : CALL_TIMEOUT, mayBypassAgent);
+        return new RankClient.CallOptions(callTimeout(active), mayBypassAgent);
     }
 
     private static <T> CompletableFuture<List<T>> allOf(List<CompletableFuture<T>> calls) {
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -276,6 +276,21 @@
         }
     }
 
+    /** A timeout below the time to call all ranks would make the controller bypass agents that respond. */
+    @Nested
+    final class CallTimeoutDuringHold {
+        @Test
+        void allowsForTheTimeThatReadingsTake() {
+            assertThat(MapController.holdingCallTimeout(Duration.ofMillis(20))).isEqualTo(Duration.ofMillis(80));
+            assertThat(MapController.holdingCallTimeout(Duration.ofMillis(106))).isEqualTo(Duration.ofMillis(212));
+        }
+
+        @Test
+        void isLimited() {
+            assertThat(MapController.holdingCallTimeout(Duration.ofMillis(556))).isEqualTo(Duration.ofMillis(250));
+        }
+    }
+
     @Nested
     final class FailedElections {
         @Test
