Controller of expert maps split: call time-outs, map in use, report and rollout limits have classes of their own

CallTimeouts, MapInUse, GroupReport and RolloutLimits hold what belongs together. Two things change: a rank that does not answer no longer lengthens the measured time of an exchange, and with it the lead and the time-outs during a hold; and a new controller asks for the placement in its first reading.

--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -35,44 +35,10 @@
         ABORTED
     }
 
-    /**
-     * Limits of a rollout.
-     *
-     * @param maxLeadSteps maximum number of steps from the last started step to the one that is held
-     * @param leadTime minimum time from the order of the hold until the held step; steps of a loaded group last long,
-     *     so a fixed number of them would delay the switch
-     * @param prepareLimit maximum time to load experts
-     * @param holdLimit maximum time to place the hold
-     * @param armLimit maximum time to arm all ranks, during which the group may be blocked
-     */
-    public record Limits(
-            long maxLeadSteps, Duration leadTime, Duration prepareLimit, Duration holdLimit, Duration armLimit) {
-        public Limits {
-            if (maxLeadSteps < MIN_LEAD_STEPS || leadTime.isNegative()) {
-                throw new IllegalArgumentException(
-                        "maxLeadSteps " + maxLeadSteps + " is below " + MIN_LEAD_STEPS + ", or leadTime is negative");
-            }
-        }
-
-        /**
-         * Returns these limits with a lead time that is long enough to arm all ranks before the held step.
-         *
-         * @param exchangeTime time to call all ranks once
-         */
-        public Limits withExchangeTime(Duration exchangeTime) {
-            Duration switchTime = exchangeTime.multipliedBy(EXCHANGES_PER_SWITCH);
-            return switchTime.compareTo(leadTime) <= 0
-                    ? this
-                    : new Limits(maxLeadSteps, switchTime, prepareLimit, holdLimit, armLimit);
-        }
-    }
-
     private static final int[][][] NO_PLACEMENT = {};
-    private static final int EXCHANGES_PER_SWITCH = 4; // read the hold, arm, read the armed ranks, arm the hold rank
-    private static final long MIN_LEAD_STEPS = 2; // the step after the last started one may begin at any moment
     private static final long PREPARE_RETRY_MILLIS = 300; // longer than an engine takes to report a loaded version
 
-    private final Limits limits;
+    private final RolloutLimits limits;
     private final int[][][] newPlacement;
     private final int[][][] currentPlacement;
     private final long epoch;
@@ -88,7 +54,7 @@
     private long holdingStartMillis;
 
     private MapRollout(
-            Limits limits,
+            RolloutLimits limits,
             int[][][] newPlacement,
             int[][][] currentPlacement,
             List<RankView> views,
@@ -123,7 +89,7 @@
      * @param currentPlacement map in use
      */
     public static MapRollout start(
-            Limits limits,
+            RolloutLimits limits,
             List<RankView> views,
             long version,
             int holdRank,
@@ -141,7 +107,7 @@
      * @param version version above all versions used by earlier controllers
      */
     public static MapRollout takeOver(
-            Limits limits, List<RankView> views, long version, int[][][] currentPlacement, long nowMillis) {
+            RolloutLimits limits, List<RankView> views, long version, int[][][] currentPlacement, long nowMillis) {
         return new MapRollout(
                 limits,
                 currentPlacement,
@@ -260,12 +226,8 @@
         return views.stream().mapToLong(RankView::step).max().orElse(0);
     }
 
-    /** Returns the number of steps that last the lead time at the rate observed since the start of the rollout. */
     private long leadSteps(long lastStartedStep, long nowMillis) {
-        double stepsPerMilli = (lastStartedStep - firstStep) / (double) Math.max(1, nowMillis - startMillis);
-        long steps = (long) Math.ceil(limits.leadTime().toMillis() * stepsPerMilli);
-        // The first step of the lead has already started.
-        return Math.max(MIN_LEAD_STEPS, Math.min(limits.maxLeadSteps(), steps + 1));
+        return limits.leadSteps((lastStartedStep - firstStep) / (double) Math.max(1, nowMillis - startMillis));
     }
 
     private List<RankOrder> arm(List<RankView> views, long nowMillis) {
--- a/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
+++ b/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
@@ -13,8 +13,8 @@
 
 final class MapRolloutTest {
     private static final int[][][] MAP = {{{0}, {1}}};
-    private static final MapRollout.Limits LIMITS =
-            new MapRollout.Limits(2, Duration.ZERO, Duration.ofMillis(2), Duration.ofMillis(2), Duration.ofMillis(2));
+    private static final RolloutLimits LIMITS =
+            new RolloutLimits(2, Duration.ZERO, Duration.ofMillis(2), Duration.ofMillis(2), Duration.ofMillis(2));
 
     @Nested
     final class WithoutFaults {
@@ -57,7 +57,7 @@
 
         /** Returns by how many steps the hold is ahead after an observation of steps of equal duration. */
         private long orderedLeadSteps(int observedSteps, int stepMillis) {
-            MapRollout.Limits limits = new MapRollout.Limits(
+            RolloutLimits limits = new RolloutLimits(
                     MAX_LEAD_STEPS, LEAD_TIME, Duration.ofSeconds(4), Duration.ofSeconds(1), Duration.ofSeconds(1));
             GroupModel group = new GroupModel(2);
             MapRollout rollout = MapRollout.start(limits, group.views(), 1, 1, MAP, MAP, 0);
@@ -83,7 +83,7 @@
         /** Steps that are held wait for the exchanges, and all streams pause meanwhile. */
         @Test
         void lastsAsLongAsTheExchangesOfALargeGroup() {
-            MapRollout.Limits limits = LIMITS.withExchangeTime(Duration.ofMillis(60));
+            RolloutLimits limits = LIMITS.withExchangeTime(Duration.ofMillis(60));
 
             assertThat(limits.leadTime()).isEqualTo(Duration.ofMillis(240));
             assertThat(limits.withExchangeTime(Duration.ofMillis(10))).isEqualTo(limits);
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -3,6 +3,7 @@
 import firwheel.experts.rollout.MapRollout;
 import firwheel.experts.rollout.RankOrder;
 import firwheel.experts.rollout.RankView;
+import firwheel.experts.rollout.RolloutLimits;
 import firwheel.mesh.AuthenticatedHttp;
 import firwheel.model.EventCode;
 import firwheel.model.Events;
@@ -48,19 +49,6 @@
             Supplier<Set<EngineAddress>> knownEngines,
             MapMetrics metrics) {}
 
-    /** Address and state of the engine of a rank. */
-    public record RankLoad(EngineAddress engine, EngineState state) {}
-
-    /**
-     * Result of reading a group.
-     *
-     * @param group name of the group
-     * @param open whether all ranks that were read report that the group is running steps
-     * @param loads states of the ranks that were read
-     * @param unreachable engines that could be read neither through their agent nor directly
-     */
-    public record GroupReport(String group, boolean open, List<RankLoad> loads, Set<EngineAddress> unreachable) {}
-
     private static final Duration READ_INTERVAL =
             Duration.ofMillis(250); // a quarter of the time to load and switch to a new map
     private static final Duration MIN_READ_PAUSE =
@@ -68,12 +56,6 @@
     private static final Duration LOADING_INTERVAL = Duration.ofMillis(60); // about the time to load one expert
     private static final Duration HOLD_INTERVAL =
             Duration.ofMillis(5); // short, since the hold must be released before the group reaches the step
-    private static final Duration CALL_TIMEOUT =
-            Duration.ofMillis(250); // the round trip between hosts is a few milliseconds
-    private static final Duration PREPARE_TIMEOUT =
-            Duration.ofMillis(600); // the map goes to all ranks over one link; leaves time to bypass an agent
-    private static final Duration MIN_HOLDING_CALL_TIMEOUT =
-            Duration.ofMillis(80); // leaves time for three lost orders between a hold and its step
     private static final Duration ELECTION_TIMEOUT =
             Duration.ofMillis(700); // two missed readings; keeps a hold by a failed controller below two seconds
     private static final Duration ELECTION_STAGGER =
@@ -83,7 +65,7 @@
     private static final long VERSIONS_PER_TERM = 1_000_000; // lasts for days at two versions per second
     private static final int AGENTS_PER_SELECTION_READING = 16; // 63 ranks are sampled within a second
     private static final int MAX_INCOMPLETE_READS = 8; // if calls time out, about as long as a hold may block the group
-    private static final MapRollout.Limits ROLLOUT_LIMITS = new MapRollout.Limits(
+    private static final RolloutLimits ROLLOUT_LIMITS = new RolloutLimits(
             8,
             Duration.ofMillis(100), // more if calls of all ranks take long
             Duration.ofSeconds(4),
@@ -100,21 +82,18 @@
     private final Environment environment;
     private final ReadingLog readingLog;
     private final SelectionSampling selectionSampling = new SelectionSampling(AGENTS_PER_SELECTION_READING);
+    private final CallTimeouts timeouts = new CallTimeouts();
+    private final MapInUse mapInUse = new MapInUse();
     private final Map<Integer, RankClient.Route> ranks = new TreeMap<>();
     private String group = "";
     private long term;
-    private long epoch = -1;
     private boolean takeoverComplete;
     private long usedVersions;
     private @Nullable MapRollout rollout;
-    private int[][][] currentPlacement = {};
     private int incompleteReads;
     private long lastReportNanos;
     private long lastSelectionsNanos;
-    private Duration lastReadingTime = Duration.ZERO;
     private Duration electionTimeout = INITIAL_ELECTION_TIMEOUT;
-    private boolean placementKnown;
-    private long currentVersion = RankView.NONE;
 
     /** Creates a controller; {@code engine} is the engine of the local rank. */
     public MapController(
@@ -203,7 +182,7 @@
         term = wonTerm;
         agent.observeTerm(wonTerm);
         takeoverComplete = false;
-        epoch = -1;
+        mapInUse.forget();
         usedVersions = 0;
         MapPolicy policy = environment.policy().get();
         if (policy != null) {
@@ -221,20 +200,32 @@
     /** Reads all ranks and starts a rollout if one is needed. */
     private CompletableFuture<Void> readAndPlan() {
         long startedNanos = time.monotonicNanos();
+        timeouts.onReadingStarted();
         List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
         List<String> agentIps = environment.agentIps().get();
         Set<String> sampled = selectionSampling.next(agentIps);
+        boolean placed = !mapInUse.isPlacementKnown();
         for (String ip : agentIps) {
-            RankCall.Read read = new RankCall.Read(term, sampled.contains(ip), !placementKnown);
-            calls.add(client.readAgent(ip, read, CALL_TIMEOUT));
+            RankCall.Read read = new RankCall.Read(term, sampled.contains(ip), placed);
+            calls.add(measured(client.readAgent(ip, read, CallTimeouts.REGULAR), startedNanos));
         }
-        calls.add(client.readLocal(new RankCall.Read(term, true, !placementKnown)));
+        calls.add(client.readLocal(new RankCall.Read(term, true, placed)));
         int agents = calls.size();
         return allOf(calls)
                 .thenCompose(this::withUnreadEngines)
                 .thenAccept(answers -> onGroupRead(answers, agents, startedNanos));
     }
 
+    private CompletableFuture<RankClient.Answer> measured(
+            CompletableFuture<RankClient.Answer> call, long startedNanos) {
+        return call.thenApply(answer -> {
+            if (answer.reading() != null) {
+                timeouts.onAnswer(Duration.ofNanos(time.monotonicNanos() - startedNanos));
+            }
+            return answer;
+        });
+    }
+
     /** Adds direct readings of the known engines whose agent did not respond. */
     private CompletableFuture<List<RankClient.Answer>> withUnreadEngines(List<RankClient.Answer> answers) {
         Set<EngineAddress> unread = new HashSet<>(environment.knownEngines().get());
@@ -265,7 +256,6 @@
             }
         }
         report(readings, environment.knownEngines().get());
-        lastReadingTime = Duration.ofNanos(time.monotonicNanos() - startedNanos);
         ReadingLog.Reading read = new ReadingLog.Reading(group, term, agents, readings.size(), size, startedNanos);
         readingLog.record(read, evaluate(readings, size));
     }
@@ -279,27 +269,16 @@
         if (!GroupReadings.areInSameEpochWithSameMap(views)) {
             return ReadingLog.Outcome.RANKS_DISAGREE;
         }
-        long previousVersion = currentVersion;
-        currentVersion = views.get(0).mapVersion();
-        if (views.get(0).epoch() != epoch || currentVersion != previousVersion) {
-            placementKnown = false;
-        }
-        int[][][] placed = GroupReadings.placement(readings, size);
-        if (placed.length > 0) {
-            currentPlacement = placed;
-            placementKnown = true;
-        }
-        if (views.get(0).epoch() != epoch) {
-            epoch = views.get(0).epoch();
+        if (mapInUse.onRead(views.get(0), GroupReadings.placement(readings, size))) {
             takeoverComplete = false;
         }
-        if (!placementKnown) {
+        if (!mapInUse.isPlacementKnown()) {
             return ReadingLog.Outcome.PLACEMENT_UNKNOWN;
         }
         if (!takeoverComplete || views.stream().anyMatch(RankView::isHolding)) {
             takeoverComplete = false;
-            rollout =
-                    MapRollout.takeOver(ROLLOUT_LIMITS, views, nextVersion(), currentPlacement, time.monotonicMillis());
+            rollout = MapRollout.takeOver(
+                    ROLLOUT_LIMITS, views, nextVersion(), mapInUse.placement(), time.monotonicMillis());
             return ReadingLog.Outcome.TAKEOVER;
         }
         return planMap(readings, views);
@@ -325,10 +304,11 @@
             return ReadingLog.Outcome.NO_POLICY;
         }
         double[] slowdowns = GroupReadings.slowdowns(readings, views.size());
-        double imbalance = policy.imbalance(currentPlacement, slowdowns);
-        environment.metrics().setMap(currentVersion, epoch, imbalance);
+        int[][][] current = mapInUse.placement();
+        double imbalance = policy.imbalance(current, slowdowns);
+        environment.metrics().setMap(mapInUse.version(), mapInUse.epoch(), imbalance);
         long planStartedMillis = time.monotonicMillis();
-        int[][][] planned = policy.plan(currentPlacement, slowdowns);
+        int[][][] planned = policy.plan(current, slowdowns);
         if (planned == null) {
             return ReadingLog.Outcome.MAP_KEPT;
         }
@@ -347,12 +327,12 @@
                 "planMillis",
                 time.monotonicMillis() - planStartedMillis);
         rollout = MapRollout.start(
-                ROLLOUT_LIMITS.withExchangeTime(lastReadingTime),
+                ROLLOUT_LIMITS.withExchangeTime(timeouts.exchangeTime()),
                 views,
                 version,
                 views.size() - 1,
                 planned,
-                currentPlacement,
+                current,
                 time.monotonicMillis());
         return ReadingLog.Outcome.MAP_PLANNED;
     }
@@ -374,7 +354,8 @@
                 : Set.of();
         ranks.values().forEach(rank -> {
             boolean selections = !sampled.isEmpty() && (rank.isLocal() || sampled.contains(rank.agentIp()));
-            calls.add(client.readRank(rank, new RankCall.Read(term, selections, false), readOptions(active)));
+            RankCall.Read read = new RankCall.Read(term, selections, false);
+            calls.add(client.readRank(rank, read, timeouts.forReading(active)));
         });
         return allOf(calls).thenCompose(answers -> {
             Map<Integer, RankCall.Reading> readings = new HashMap<>();
@@ -454,9 +435,7 @@
                     finished.toString());
         }
         if (switched) {
-            currentPlacement = finished.newPlacement();
-            currentVersion = finished.version();
-            placementKnown = true;
+            mapInUse.onSwitch(finished);
         }
         takeoverComplete = true;
         rollout = null;
@@ -467,36 +446,7 @@
         if (rank == null) {
             return CompletableFuture.completedFuture(false);
         }
-        return client.sendOrder(rank, term, order, orderOptions(active, order));
-    }
-
-    private RankClient.CallOptions readOptions(MapRollout active) {
-        return new RankClient.CallOptions(callTimeout(active), active.mayBlockGroup());
-    }
-
-    private Duration callTimeout(MapRollout active) {
-        return active.mayBlockGroup() ? holdingCallTimeout(lastReadingTime) : CALL_TIMEOUT;
-    }
-
-    /**
-     * Returns the timeout of a call while the group may be blocked. Calls of all ranks of a large group take longer
-     * than the minimum, and none would be answered in time.
-     */
-    static Duration holdingCallTimeout(Duration readingTime) {
-        Duration measured = readingTime.multipliedBy(2);
-        Duration atLeastMinimum =
-                measured.compareTo(MIN_HOLDING_CALL_TIMEOUT) < 0 ? MIN_HOLDING_CALL_TIMEOUT : measured;
-        return atLeastMinimum.compareTo(CALL_TIMEOUT) > 0 ? CALL_TIMEOUT : atLeastMinimum;
-    }
-
-    /** Agents refuse orders of earlier terms, so only orders that end a rollout may be sent directly to engines. */
-    private RankClient.CallOptions orderOptions(MapRollout active, RankOrder order) {
-        boolean endsRollout = order.action() != RankOrder.Action.ARM && order.action() != RankOrder.Action.HOLD;
-        boolean mayBypassAgent = endsRollout && active.mayBlockGroup();
-        if (order.action() == RankOrder.Action.PREPARE) {
-            return new RankClient.CallOptions(PREPARE_TIMEOUT, mayBypassAgent);
-        }
-        return new RankClient.CallOptions(callTimeout(active), mayBypassAgent);
+        return client.sendOrder(rank, term, order, timeouts.forOrder(active, order.action()));
     }
 
     private static <T> CompletableFuture<List<T>> allOf(List<CompletableFuture<T>> calls) {
@@ -504,23 +454,12 @@
                 .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
     }
 
-    private void report(Map<Integer, RankCall.Reading> readings, Set<EngineAddress> triedDirectly) {
+    private void report(Map<Integer, RankCall.Reading> readings, Set<EngineAddress> calledDirectly) {
         long now = time.monotonicNanos();
         if (now - lastReportNanos < READ_INTERVAL.toNanos() * 4 / 5) {
             return;
         }
         lastReportNanos = now;
-        List<RankLoad> loads = new ArrayList<>();
-        Set<EngineAddress> unreachable = new HashSet<>(triedDirectly);
-        boolean open = true;
-        for (RankCall.Reading reading : readings.values()) {
-            EngineState state = reading.state();
-            if (state != null) {
-                loads.add(new RankLoad(reading.engine(), state));
-                unreachable.remove(reading.engine());
-                open &= state.view().open();
-            }
-        }
-        environment.reports().accept(new GroupReport(group, open, loads, unreachable));
+        environment.reports().accept(GroupReport.of(group, readings.values(), calledDirectly));
     }
 }
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -38,7 +38,7 @@
     private final List<MapPolicy> policies = List.of(newPolicy(), newPolicy(), newPolicy());
     private final List<Integer> winners = new CopyOnWriteArrayList<>();
     private final List<HttpServer> servers = new CopyOnWriteArrayList<>();
-    private final List<MapController.RankLoad> loads = new CopyOnWriteArrayList<>();
+    private final List<GroupReport.RankLoad> loads = new CopyOnWriteArrayList<>();
     private final AtomicLong reports = new AtomicLong();
     private final List<Closeable> sockets = new ArrayList<>();
     private @Nullable EngineAddress silentEngine;
@@ -276,21 +276,6 @@
         }
     }
 
-    /** A timeout below the time to call all ranks would make the controller bypass agents that respond. */
-    @Nested
-    final class CallTimeoutDuringHold {
-        @Test
-        void allowsForTheTimeThatReadingsTake() {
-            assertThat(MapController.holdingCallTimeout(Duration.ofMillis(20))).isEqualTo(Duration.ofMillis(80));
-            assertThat(MapController.holdingCallTimeout(Duration.ofMillis(106))).isEqualTo(Duration.ofMillis(212));
-        }
-
-        @Test
-        void isLimited() {
-            assertThat(MapController.holdingCallTimeout(Duration.ofMillis(556))).isEqualTo(Duration.ofMillis(250));
-        }
-    }
-
     @Nested
     final class FailedElections {
         @Test
