--- /dev/null
+++ b/rebalance/src/main/java/firwheel/rebalance/GroupReader.java
@@ -0,0 +1,102 @@
+package firwheel.rebalance;
+
+import firwheel.experts.rollout.MapRollout;
+import firwheel.model.TimeSource;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** Reads the ranks of a group, and the expert selections of a limited number of them at a time. */
+final class GroupReader {
+    private static final int AGENTS_PER_SELECTION_READING = 16; // 63 ranks are sampled within a second
+
+    private final RankClient client;
+    private final TimeSource time;
+    private final Supplier<Set<EngineAddress>> knownEngines;
+    private final CallTimeouts timeouts;
+    private final SelectionSampling selectionSampling = new SelectionSampling(AGENTS_PER_SELECTION_READING);
+
+    /** Creates a reader that measures its readings for {@code timeouts}. */
+    GroupReader(RankClient client, TimeSource time, Supplier<Set<EngineAddress>> knownEngines, CallTimeouts timeouts) {
+        this.client = client;
+        this.time = time;
+        this.knownEngines = knownEngines;
+        this.timeouts = timeouts;
+    }
+
+    /**
+     * Reads the local rank, the ranks of other agents, and directly the known engines whose agent did not respond.
+     *
+     * @param placed whether to read which experts the ranks hold
+     */
+    CompletableFuture<List<RankClient.Answer>> readAll(long term, List<String> agentIps, boolean placed) {
+        long startedNanos = time.monotonicNanos();
+        timeouts.onReadingStarted();
+        List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
+        Set<String> sampled = selectionSampling.next(agentIps);
+        for (String ip : agentIps) {
+            RankCall.Read read = new RankCall.Read(term, sampled.contains(ip), placed);
+            calls.add(measured(client.readAgent(ip, read, CallTimeouts.REGULAR), startedNanos));
+        }
+        calls.add(client.readLocal(new RankCall.Read(term, true, placed)));
+        return allOf(calls).thenCompose(answers -> withUnreadEngines(term, answers));
+    }
+
+    /**
+     * Reads ranks while a map is rolled out.
+     *
+     * @param selections whether to read expert selections as well
+     */
+    CompletableFuture<List<RankClient.Answer>> readDuringRollout(
+            long term, Collection<RankClient.Route> ranks, MapRollout rollout, boolean selections) {
+        Set<String> sampled = selections ? selectionSampling.next(agentIps(ranks)) : Set.of();
+        List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
+        for (RankClient.Route rank : ranks) {
+            boolean withSelections = selections && (rank.isLocal() || sampled.contains(rank.agentIp()));
+            RankCall.Read read = new RankCall.Read(term, withSelections, false);
+            calls.add(client.readRank(rank, read, timeouts.forReading(rollout)));
+        }
+        return allOf(calls);
+    }
+
+    private static List<String> agentIps(Collection<RankClient.Route> ranks) {
+        return ranks.stream()
+                .filter(rank -> !rank.isLocal())
+                .map(RankClient.Route::agentIp)
+                .toList();
+    }
+
+    private CompletableFuture<RankClient.Answer> measured(
+            CompletableFuture<RankClient.Answer> call, long startedNanos) {
+        return call.thenApply(answer -> {
+            if (answer.reading() != null) {
+                timeouts.onAnswer(Duration.ofNanos(time.monotonicNanos() - startedNanos));
+            }
+            return answer;
+        });
+    }
+
+    private CompletableFuture<List<RankClient.Answer>> withUnreadEngines(long term, List<RankClient.Answer> answers) {
+        Set<EngineAddress> unread = new HashSet<>(knownEngines.get());
+        answers.forEach(answer -> {
+            RankCall.Reading reading = answer.reading();
+            if (reading != null) {
+                unread.remove(reading.engine());
+            }
+        });
+        List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
+        answers.forEach(answer -> calls.add(CompletableFuture.completedFuture(answer)));
+        unread.forEach(address -> calls.add(client.readEngine(address, term)));
+        return allOf(calls);
+    }
+
+    private static <T> CompletableFuture<List<T>> allOf(List<CompletableFuture<T>> calls) {
+        return CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]))
+                .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
+    }
+}
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -12,15 +12,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -31,24 +27,6 @@
  * controller for the election timeout. All methods run on one event loop.
  */
 public final class MapController {
-    /**
-     * Dependencies of the controller.
-     *
-     * @param agentIps returns the IP addresses of all known agents but this one; some may have ended
-     * @param engineAt returns a client of the engine at an address, for ranks whose agent does not respond
-     * @param policy returns the policy of the group, or null until its configuration is known
-     * @param reports receives the result of each reading of the group
-     * @param knownEngines returns the engines recently reported by a controller, for ranks whose agent does not respond
-     * @param metrics metrics of the controller
-     */
-    public record Environment(
-            Supplier<List<String>> agentIps,
-            Function<EngineAddress, Engine> engineAt,
-            Supplier<@Nullable MapPolicy> policy,
-            Consumer<GroupReport> reports,
-            Supplier<Set<EngineAddress>> knownEngines,
-            MapMetrics metrics) {}
-
     private static final Duration READ_INTERVAL =
             Duration.ofMillis(250); // a quarter of the time to load and switch to a new map
     private static final Duration MIN_READ_PAUSE =
@@ -63,7 +41,6 @@
     private static final Duration INITIAL_ELECTION_TIMEOUT =
             Duration.ofMillis(500); // a live controller discovers and reads a new agent sooner
     private static final long VERSIONS_PER_TERM = 1_000_000; // lasts for days at two versions per second
-    private static final int AGENTS_PER_SELECTION_READING = 16; // 63 ranks are sampled within a second
     private static final int MAX_INCOMPLETE_READS = 8; // if calls time out, about as long as a hold may block the group
     private static final RolloutLimits ROLLOUT_LIMITS = new RolloutLimits(
             8,
@@ -78,10 +55,10 @@
     private final RankAgent agent;
     private final Engine engine;
     private final RankClient client;
+    private final GroupReader reader;
     private final ControllerElection election;
-    private final Environment environment;
+    private final ControllerEnvironment environment;
     private final ReadingLog readingLog;
-    private final SelectionSampling selectionSampling = new SelectionSampling(AGENTS_PER_SELECTION_READING);
     private final CallTimeouts timeouts = new CallTimeouts();
     private final MapInUse mapInUse = new MapInUse();
     private final Map<Integer, RankClient.Route> ranks = new TreeMap<>();
@@ -103,12 +80,13 @@
             Engine engine,
             AuthenticatedHttp http,
             ControllerElection election,
-            Environment environment) {
+            ControllerEnvironment environment) {
         this.vertx = vertx;
         this.time = time;
         this.agent = agent;
         this.engine = engine;
         client = new RankClient(vertx, time, agent, http, environment.engineAt());
+        reader = new GroupReader(client, time, environment.knownEngines(), timeouts);
         this.election = election;
         this.environment = environment;
         readingLog = new ReadingLog(time, http, environment.metrics());
@@ -200,45 +178,9 @@
     /** Reads all ranks and starts a rollout if one is needed. */
     private CompletableFuture<Void> readAndPlan() {
         long startedNanos = time.monotonicNanos();
-        timeouts.onReadingStarted();
-        List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
         List<String> agentIps = environment.agentIps().get();
-        Set<String> sampled = selectionSampling.next(agentIps);
-        boolean placed = !mapInUse.isPlacementKnown();
-        for (String ip : agentIps) {
-            RankCall.Read read = new RankCall.Read(term, sampled.contains(ip), placed);
-            calls.add(measured(client.readAgent(ip, read, CallTimeouts.REGULAR), startedNanos));
-        }
-        calls.add(client.readLocal(new RankCall.Read(term, true, placed)));
-        int agents = calls.size();
-        return allOf(calls)
-                .thenCompose(this::withUnreadEngines)
-                .thenAccept(answers -> onGroupRead(answers, agents, startedNanos));
-    }
-
-    private CompletableFuture<RankClient.Answer> measured(
-            CompletableFuture<RankClient.Answer> call, long startedNanos) {
-        return call.thenApply(answer -> {
-            if (answer.reading() != null) {
-                timeouts.onAnswer(Duration.ofNanos(time.monotonicNanos() - startedNanos));
-            }
-            return answer;
-        });
-    }
-
-    /** Adds direct readings of the known engines whose agent did not respond. */
-    private CompletableFuture<List<RankClient.Answer>> withUnreadEngines(List<RankClient.Answer> answers) {
-        Set<EngineAddress> unread = new HashSet<>(environment.knownEngines().get());
-        answers.forEach(answer -> {
-            RankCall.Reading reading = answer.reading();
-            if (reading != null) {
-                unread.remove(reading.engine());
-            }
-        });
-        List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
-        answers.forEach(answer -> calls.add(CompletableFuture.completedFuture(answer)));
-        unread.forEach(address -> calls.add(client.readEngine(address, term)));
-        return allOf(calls);
+        return reader.readAll(term, agentIps, !mapInUse.isPlacementKnown())
+                .thenAccept(answers -> onGroupRead(answers, agentIps.size() + 1, startedNanos));
     }
 
     private void onGroupRead(List<RankClient.Answer> answers, int agents, long startedNanos) {
@@ -348,38 +290,34 @@
     /** Reads all ranks and sends the next orders of the rollout. */
     private CompletableFuture<Void> advanceRollout(MapRollout active) {
         long startedNanos = time.monotonicNanos();
-        List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
-        Set<String> sampled = selectionsDue(active)
-                ? selectionSampling.next(environment.agentIps().get())
-                : Set.of();
-        ranks.values().forEach(rank -> {
-            boolean selections = !sampled.isEmpty() && (rank.isLocal() || sampled.contains(rank.agentIp()));
-            RankCall.Read read = new RankCall.Read(term, selections, false);
-            calls.add(client.readRank(rank, read, timeouts.forReading(active)));
-        });
-        return allOf(calls).thenCompose(answers -> {
-            Map<Integer, RankCall.Reading> readings = new HashMap<>();
-            for (RankClient.Answer answer : answers) {
-                RankCall.Reading reading = answer.reading();
-                if (reading != null && reading.state() != null) {
-                    readings.put(reading.state().view().rank(), reading);
-                }
-            }
-            if (!sampled.isEmpty()) {
-                recordSelections(readings);
-            }
-            // Engines are read directly only while a hold may block the group.
-            report(readings, active.mayBlockGroup() ? environment.knownEngines().get() : Set.of());
-            List<RankView> views = GroupReadings.views(readings, ranks.size());
-            if (views.isEmpty()) {
-                readingLog.record(
-                        new ReadingLog.Reading(group, term, ranks.size(), readings.size(), ranks.size(), startedNanos),
-                        ReadingLog.Outcome.INCOMPLETE);
-                return onIncompleteRead(active);
-            }
-            incompleteReads = 0;
-            return sendOrders(active, active.nextOrders(views, time.monotonicMillis()));
-        });
+        boolean selections = selectionsDue(active);
+        return reader.readDuringRollout(term, ranks.values(), active, selections)
+                .thenCompose(answers -> {
+                    Map<Integer, RankCall.Reading> readings = new HashMap<>();
+                    for (RankClient.Answer answer : answers) {
+                        RankCall.Reading reading = answer.reading();
+                        if (reading != null && reading.state() != null) {
+                            readings.put(reading.state().view().rank(), reading);
+                        }
+                    }
+                    if (selections) {
+                        recordSelections(readings);
+                    }
+                    // Engines are read directly only while a hold may block the group.
+                    report(
+                            readings,
+                            active.mayBlockGroup() ? environment.knownEngines().get() : Set.of());
+                    List<RankView> views = GroupReadings.views(readings, ranks.size());
+                    if (views.isEmpty()) {
+                        readingLog.record(
+                                new ReadingLog.Reading(
+                                        group, term, ranks.size(), readings.size(), ranks.size(), startedNanos),
+                                ReadingLog.Outcome.INCOMPLETE);
+                        return onIncompleteRead(active);
+                    }
+                    incompleteReads = 0;
+                    return sendOrders(active, active.nextOrders(views, time.monotonicMillis()));
+                });
     }
 
     /** Selections are read while experts are loaded, so that the next map is planned from recent demand. */
@@ -413,7 +351,7 @@
         }
         List<CompletableFuture<Boolean>> calls = new ArrayList<>();
         orders.forEach(order -> calls.add(sendOrder(active, order)));
-        return allOf(calls).thenApply(done -> null);
+        return CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]));
     }
 
     private void onRolloutFinished(MapRollout finished) {
@@ -449,11 +387,6 @@
         return client.sendOrder(rank, term, order, timeouts.forOrder(active, order.action()));
     }
 
-    private static <T> CompletableFuture<List<T>> allOf(List<CompletableFuture<T>> calls) {
-        return CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]))
-                .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
-    }
-
     private void report(Map<Integer, RankCall.Reading> readings, Set<EngineAddress> calledDirectly) {
         long now = time.monotonicNanos();
         if (now - lastReportNanos < READ_INTERVAL.toNanos() * 4 / 5) {
--- a/rebalance/src/test/java/firwheel/rebalance/LargeGroupTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/LargeGroupTest.java
@@ -61,7 +61,7 @@
                 group.engine(0),
                 newHttp(linkPort),
                 name -> CompletableFuture.completedFuture(1L),
-                new MapController.Environment(
+                new ControllerEnvironment(
                         () -> otherAgents,
                         address -> {
                             bypassedAgents.incrementAndGet();
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -88,7 +88,7 @@
                             ? CompletableFuture.failedFuture(new IOException("no reply from the store"))
                             : CompletableFuture.completedFuture(terms.incrementAndGet());
                 },
-                new MapController.Environment(
+                new ControllerEnvironment(
                         () -> others,
                         other -> other.equals(silentEngine)
                                 ? new SilentEngine(vertx)
