--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -29,6 +29,8 @@
     TARGET_CHANGED(405, Severity.INFO, "A target registered or changed its registration."),
     TARGET_GONE(406, Severity.INFO, "A target is no longer registered and gets no new work."),
     TARGET_UNREADABLE(407, Severity.WARN, "A registration cannot be read and names no target to use."),
+    STORE_ERA(408, Severity.WARN, "The store states another era than before, as after its return from an older copy."),
+    TARGET_LEAVING(409, Severity.INFO, "A target said in a response that it leaves."),
     LINK_REFUSED(501, Severity.WARN, "A peer failed authentication or sent a bad frame; its link was closed."),
     LINK_UP(502, Severity.INFO, "A link to a peer is up."),
     LINK_DOWN(503, Severity.INFO, "A link to a peer is down."),
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -1,10 +1,13 @@
 package firwheel.proxy.server;
 
+import firwheel.model.EventCode;
+import firwheel.model.Events;
 import firwheel.model.TimeSource;
 import firwheel.proxy.balance.RetryAfterPolicy;
 import firwheel.proxy.balance.RetryBudget;
 import firwheel.proxy.balance.TargetSelector;
 import firwheel.proxy.config.RoutingConfig;
+import firwheel.proxy.targets.Target;
 import firwheel.proxy.targets.TargetDirectory;
 import io.vertx.core.Vertx;
 import java.util.HashMap;
@@ -12,9 +15,13 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** State shared by all requests of one entry. Confined to the event loop that serves them. */
 final class ProxyState {
+    private static final Logger logger = LoggerFactory.getLogger(ProxyState.class);
+
     final Vertx vertx;
     final TimeSource time;
     final ProxyProtocol protocol;
@@ -67,6 +74,25 @@
         return true;
     }
 
+    /** Records that a target said in a response with {@code status} that it leaves. */
+    void onTargetLeaving(Target target, int status) {
+        if (directory.markLeaving(target.key())) {
+            Events.log(
+                    logger,
+                    EventCode.TARGET_LEAVING,
+                    "target",
+                    target.instanceId(),
+                    "startedMillis",
+                    target.startedMillis(),
+                    "service",
+                    target.service(),
+                    "status",
+                    status,
+                    "registeredAsServing",
+                    directory.isServing(target));
+        }
+    }
+
     boolean draining() {
         return draining;
     }
--- a/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
@@ -11,6 +11,7 @@
  * @param signed whether the target signed the response
  * @param notExecuted whether the target states that it did not execute the request and will not
  * @param wrongInstance whether a process other than the expected one uses the address
+ * @param leaving whether the target states that it is shutting down
  * @param contentEncoded whether the body has a content encoding, which no client requested
  * @param keepAliveMillis time for which the target keeps an idle connection open, or 0 if not stated
  * @param closesConnection whether the target closes the connection after the response
@@ -22,6 +23,7 @@
         boolean signed,
         boolean notExecuted,
         boolean wrongInstance,
+        boolean leaving,
         boolean contentEncoded,
         long keepAliveMillis,
         boolean closesConnection,
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -113,6 +113,9 @@
     public void onHead(ResponseHead received) {
         load.onBytesReceived(state.time.monotonicNanos());
         head = received;
+        if (received.leaving()) {
+            state.onTargetLeaving(target, received.status());
+        }
         if (received.notExecuted()) {
             executions.recordNotExecuted();
         }
--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** All registered targets, by service. Not thread-safe: confined to the event loop that routes requests. */
@@ -17,7 +19,16 @@
         void onRetired(Target target);
     }
 
+    // Incarnations that leave are remembered after their registration is gone, since an old one may come back.
+    private static final int MAX_LEAVING = 4_096;
+
     private final Map<String, Target> byId = new LinkedHashMap<>();
+    private final Set<Target.Key> leaving = Collections.newSetFromMap(new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Target.Key, Boolean> eldest) {
+            return size() > MAX_LEAVING;
+        }
+    });
     private Map<String, List<Target>> servingByService = Map.of();
     private final RetirementListener retirementListener;
 
@@ -44,6 +55,11 @@
         }
     }
 
+    /** Records that an incarnation of a target said that it leaves; returns whether this was not known. */
+    public boolean markLeaving(Target.Key key) {
+        return leaving.add(key);
+    }
+
     /** Returns the targets of a service that accept new requests. */
     public List<Target> serving(String service) {
         return servingByService.getOrDefault(service, List.of());
