Configurations and registrations follow a store that returns from an older copy

After a return from an older copy the store gives revisions out again, but processes dropped rows whose revision was not above the highest one seen, and feeds went on from that revision: what was confirmed in the new era was ignored, and what changed between the copy and the old mark was missed without a sign. Targets that began to drain after the return kept getting requests for the same reason.

Peers exchange the configuration's version and the registry's position instead of revisions. With processes of the version before, fetches may be needless or wait for the feed, for as long as both run.

--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -99,7 +99,7 @@
                 .toCompletableFuture();
     }
 
-    /** Activates a configuration if it is newer than the active one. */
+    /** Activates a configuration unless it is older than the active one. */
     public void applyConfig(RoutingConfig config, String source) {
         if (state.applyConfig(config)) {
             state.metrics.setConfigVersion(config.version());
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -64,10 +64,10 @@
         return config;
     }
 
-    /** Activates a configuration if it is newer than the active one; returns whether it was activated. */
+    /** Activates a configuration unless it is older than the active one; returns whether it was activated. */
     boolean applyConfig(RoutingConfig candidate) {
         RoutingConfig current = config;
-        if (current != null && current.version() >= candidate.version()) {
+        if (current != null && current.version() > candidate.version()) {
             return false;
         }
         config = candidate;
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -17,14 +17,15 @@
     record Member(String ip, String availabilityZone, String role, long incarnation, long heartbeatSequence) {}
 
     /**
-     * Heartbeat, with the revisions and processes known to the sender.
+     * Heartbeat, with the state and processes known to the sender.
      *
      * @param self identity of the sender
-     * @param configRevision store revision of the configuration in force at the sender
-     * @param registryRevision store revision of the latest change to the target registry known to the sender
+     * @param configVersion version of the configuration in force at the sender, or -1
+     * @param registryPosition position in the store of the latest change to the target registry known to the sender,
+     *     or -1
      * @param others sample of the processes that the sender considers alive
      */
-    record Heartbeat(Member self, long configRevision, long registryRevision, List<Member> others)
+    record Heartbeat(Member self, long configVersion, long registryPosition, List<Member> others)
             implements MeshMessage {}
 
     /**
