Targets that say in a response that they leave get no new requests

DRAIN: a request reached a target after it had said that it leaves. Nothing read the header; an entry learned of a departure by the registration alone, so it kept sending while the store was away or the registration late. A departure read in a response of any status is now final for the incarnation of the target that the request was sent to: it is not selected, and a request selected before is checked again when its connection is there (TargetDirectory.isServing). It ends with another incarnation only.

--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -55,9 +55,25 @@
         }
     }
 
-    /** Records that an incarnation of a target said that it leaves; returns whether this was not known. */
+    /**
+     * Records that an incarnation of a target leaves, which is final: it gets no new requests, whatever its registration
+     * says. Returns whether this was not known.
+     */
     public boolean markLeaving(Target.Key key) {
-        return leaving.add(key);
+        if (!leaving.add(key)) {
+            return false;
+        }
+        Target registered = byId.get(key.instanceId());
+        if (registered != null && registered.key().equals(key)) {
+            retirementListener.onRetired(registered);
+            rebuildIndex();
+        }
+        return true;
+    }
+
+    /** Returns whether a registered target accepts new requests. */
+    private boolean accepts(Target target) {
+        return !target.draining() && !leaving.contains(target.key());
     }
 
     /** Returns the targets of a service that accept new requests. */
@@ -83,7 +99,7 @@
     /** Returns whether this incarnation of a target accepts new requests. */
     public boolean isServing(Target target) {
         Target current = byId.get(target.instanceId());
-        return current != null && !current.draining() && current.key().equals(target.key());
+        return current != null && accepts(current) && current.key().equals(target.key());
     }
 
     /** Returns all registered targets, including draining ones. */
@@ -94,7 +110,7 @@
     private void rebuildIndex() {
         Map<String, List<Target>> rebuilt = new HashMap<>();
         for (Target target : byId.values()) {
-            if (!target.draining()) {
+            if (accepts(target)) {
                 rebuilt.computeIfAbsent(target.service(), service -> new ArrayList<>())
                         .add(target);
             }
