A departure is final for an incarnation of a target

DRAIN: a registration written late, or brought back by a store that returns from an older copy, shows a target as ready that was draining, and entries sent to it again.

--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -37,8 +37,14 @@
         this.retirementListener = retirementListener;
     }
 
-    /** Adds a target or replaces its previous registration. */
+    /**
+     * Adds a target or replaces its previous registration. An incarnation that was registered as draining leaves, even if
+     * a delayed or restored registration says otherwise later.
+     */
     public void put(Target target) {
+        if (target.draining()) {
+            leaving.add(target.key());
+        }
         Target previous = byId.put(target.instanceId(), target);
         if (previous != null && (target.draining() || !previous.key().equals(target.key()))) {
             retirementListener.onRetired(previous);
