--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -31,6 +31,7 @@
     TARGET_UNREADABLE(407, Severity.WARN, "A registration cannot be read and names no target to use."),
     STORE_ERA(408, Severity.WARN, "The store states another era than before, as after its return from an older copy."),
     TARGET_LEAVING(409, Severity.INFO, "A target said in a response that it leaves."),
+    TARGET_LIMIT(410, Severity.INFO, "A target stated another request limit than before; negative means none."),
     LINK_REFUSED(501, Severity.WARN, "A peer failed authentication or sent a bad frame; its link was closed."),
     LINK_UP(502, Severity.INFO, "A link to a peer is up."),
     LINK_DOWN(503, Severity.INFO, "A link to a peer is down."),
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -93,6 +93,21 @@
         }
     }
 
+    /** Records that a response of a target states another request limit than the one before. */
+    void onTargetLimit(Target target, ResponseHead head) {
+        Events.log(
+                logger,
+                EventCode.TARGET_LIMIT,
+                "target",
+                target.instanceId(),
+                "service",
+                target.service(),
+                "status",
+                head.status(),
+                "requestsPerSecond",
+                head.requestLimit());
+    }
+
     boolean draining() {
         return draining;
     }
--- a/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
@@ -12,6 +12,8 @@
  * @param notExecuted whether the target states that it did not execute the request and will not
  * @param wrongInstance whether a process other than the expected one uses the address
  * @param leaving whether the target states that it is shutting down
+ * @param requestLimit requests per second that the target states to take from all entries together; negative if it states
+ *     none
  * @param contentEncoded whether the body has a content encoding, which no client requested
  * @param keepAliveMillis time for which the target keeps an idle connection open, or 0 if not stated
  * @param closesConnection whether the target closes the connection after the response
@@ -24,6 +26,7 @@
         boolean notExecuted,
         boolean wrongInstance,
         boolean leaving,
+        double requestLimit,
         boolean contentEncoded,
         long keepAliveMillis,
         boolean closesConnection,
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -116,6 +116,9 @@
         if (received.leaving()) {
             state.onTargetLeaving(target, received.status());
         }
+        if (load.onStatedLimit(received.requestLimit())) {
+            state.onTargetLimit(target, received);
+        }
         if (received.notExecuted()) {
             executions.recordNotExecuted();
         }
