Limits that targets name are kept over all entries together

Nothing read the header; the target was selected by its load like any other, by 20 entries that do not know of each other's requests.

Each entry now sends to a limited target only in its own turns: one request in a period that is as long as all entries need to send one each at that rate. Turns come at a random time and expire after 1 s, since turns kept over a quiet interval would be used by all entries at once. The selector leaves a target without a turn out and asks again before a request is written (tryBegin), so that repeats and resumed streams count too; if no target may take a request it is refused at once with a true 'not run'. The first response without the header ends the limit; what an entry newly hears of limits and departures is broadcast to the others (message 53, ignored by processes of the version before).

--- a/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
@@ -15,7 +15,6 @@
     private static final long UNREACHABLE_REPORT_TTL_NANOS =
             Duration.ofSeconds(1).toNanos(); // two report intervals of a group that cannot be read completely
 
-    private double statedLimit = -1;
     private int inFlight;
     private int reportedRequests;
     private int sendsSinceReport;
@@ -50,16 +49,6 @@
                 : latencyMillis + LATENCY_EWMA_WEIGHT * (elapsedMillis - latencyMillis);
     }
 
-    /**
-     * Records the request limit that a response states, in requests per second, or a negative number if it states none.
-     * Returns whether it differs from the one before.
-     */
-    public boolean onStatedLimit(double requestsPerSecond) {
-        boolean changed = statedLimit != requestsPerSecond;
-        statedLimit = requestsPerSecond;
-        return changed;
-    }
-
     /** Records that bytes were received from the target. */
     public void onBytesReceived(long nowNanos) {
         lastReceivedNanos = nowNanos;
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -41,6 +41,7 @@
     private final Map<Target.Key, TargetLoad> loads = new HashMap<>();
     private final Map<String, GroupState> groups = new HashMap<>();
     private final Map<String, ArrayDeque<Long>> recentSelections = new HashMap<>();
+    private final StatedLimits limits;
     private int entryCount = 1;
 
     private record GroupState(boolean open, long reportedNanos) {}
@@ -51,11 +52,18 @@
         this.localZone = localZone;
         this.time = time;
         this.random = random;
+        limits = new StatedLimits(time, random);
+    }
+
+    /** Returns the request limits that targets state. */
+    public StatedLimits limits() {
+        return limits;
     }
 
     /** Sets the number of entries that send to the same targets. */
     public void setEntryCount(int entryCount) {
         this.entryCount = Math.max(1, entryCount);
+        limits.setEntryCount(entryCount);
     }
 
     /**
@@ -73,16 +81,27 @@
 
     /** Removes the load records of targets that no longer exist. */
     public void removeRetired() {
-        loads.entrySet().removeIf(entry -> {
-            Target current = directory.find(entry.getKey().instanceId());
-            boolean retired = current == null || !current.key().equals(entry.getKey());
-            return retired && entry.getValue().inFlight() == 0;
-        });
+        loads.entrySet()
+                .removeIf(entry -> isRetired(entry.getKey()) && entry.getValue().inFlight() == 0);
+        limits.removeRetired(this::isRetired);
+    }
+
+    private boolean isRetired(Target.Key key) {
+        Target current = directory.find(key.instanceId());
+        return current == null || !current.key().equals(key);
+    }
+
+    /**
+     * Returns whether a request may be sent to the target now, and counts it against the target's limit. Asked last
+     * before a request is written, as the target may have changed since it was selected.
+     */
+    public boolean tryBegin(Target target) {
+        return directory.isServing(target) && limits.tryTake(target.key());
     }
 
     /**
-     * Returns why no target of {@code service} can be selected: all that serve are full, or none serves. A full target
-     * is not selected, because a queue that formed in a short shortage would never drain at a load near the capacity,
+     * Returns why no target of {@code service} can be selected: all that serve are full or limited, or none serves. A full
+     * or limited target is not selected, because a queue that formed in a short shortage would never drain at a load near the capacity,
      * and would delay all later requests.
      */
     public RetryAfterPolicy.Reason shortage(String service) {
@@ -121,7 +140,8 @@
 
     private List<Target> findCandidates(String service, Set<Target.Key> tried, long now) {
         List<Target> candidates = findAvailable(service, tried, now);
-        candidates.removeIf(target -> load(target).isFull(now, MAX_REPORT_AGE, target.slots()));
+        candidates.removeIf(
+                target -> load(target).isFull(now, MAX_REPORT_AGE, target.slots()) || !limits.allows(target.key()));
         return candidates;
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -5,6 +5,7 @@
 import firwheel.model.ResultCode;
 import firwheel.model.TimeSource;
 import firwheel.proxy.balance.RetryBudget;
+import firwheel.proxy.balance.StatedLimits;
 import firwheel.proxy.balance.TargetSelector;
 import firwheel.proxy.config.ClientLimits;
 import firwheel.proxy.config.RoutingConfig;
@@ -51,6 +52,18 @@
     private @Nullable CompletableFuture<Void> drainFuture;
     private boolean gracePeriodEnded;
 
+    /** Is notified of what targets state of themselves in their responses. */
+    @FunctionalInterface
+    public interface StatementListener {
+        /**
+         * Called when a statement differs from what was known.
+         *
+         * @param leaving whether the target leaves; if not, the statement is about the limit
+         * @param requestsPerSecond limit of all entries together, or {@link StatedLimits#NONE}
+         */
+        void onStatement(Target target, boolean leaving, double requestsPerSecond);
+    }
+
     /** A client connection: the number of its open requests and, without any, the start of its idle time. */
     private static final class ClientConnection {
         private int openRequests;
@@ -137,6 +150,19 @@
         }
     }
 
+    /** Sets the listener for what targets newly state in their responses. */
+    public void onTargetStatement(StatementListener listener) {
+        state.setStatementListener(listener);
+    }
+
+    /** Records what a target stated in a response to another entry. */
+    public void onPeerStatement(String ip, int port, long startedMillis, boolean leaving, double requestsPerSecond) {
+        Target target = state.directory.findByAddress(ip, port);
+        if (target != null && target.startedMillis() == startedMillis) {
+            state.onPeerStatement(target, leaving, requestsPerSecond);
+        }
+    }
+
     /** Records a report of whether a model group is serving. */
     public void onGroupState(String group, boolean open) {
         state.targetSelector.onGroupState(group, open);
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -5,6 +5,7 @@
 import firwheel.model.TimeSource;
 import firwheel.proxy.balance.RetryAfterPolicy;
 import firwheel.proxy.balance.RetryBudget;
+import firwheel.proxy.balance.StatedLimits;
 import firwheel.proxy.balance.TargetSelector;
 import firwheel.proxy.config.RoutingConfig;
 import firwheel.proxy.targets.Target;
@@ -35,6 +36,7 @@
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private @Nullable RoutingConfig config;
     private boolean draining;
+    private ProxyServer.StatementListener statementListener = (target, leaving, requestsPerSecond) -> {};
 
     ProxyState(
             Vertx vertx,
@@ -74,27 +76,38 @@
         return true;
     }
 
-    /** Records that a target said in a response with {@code status} that it leaves. */
-    void onTargetLeaving(Target target, int status) {
+    /** Records that a target said in a response that it leaves. */
+    void onTargetLeaving(Target target) {
         if (directory.markLeaving(target.key())) {
-            Events.log(
-                    logger,
-                    EventCode.TARGET_LEAVING,
-                    "target",
-                    target.instanceId(),
-                    "startedMillis",
-                    target.startedMillis(),
-                    "service",
-                    target.service(),
-                    "status",
-                    status,
-                    "registeredAsServing",
-                    directory.isServing(target));
+            logLeaving(target, "response");
+            statementListener.onStatement(target, true, StatedLimits.NONE);
         }
     }
 
-    /** Records that a response of a target states another request limit than the one before. */
-    void onTargetLimit(Target target, ResponseHead head) {
+    /** Records the request limit that a response of a target states; negative if it states none. */
+    void onTargetLimit(Target target, double requestsPerSecond) {
+        if (targetSelector.limits().onStated(target.key(), requestsPerSecond)) {
+            logLimit(target, requestsPerSecond, "response");
+            statementListener.onStatement(target, false, requestsPerSecond);
+        }
+    }
+
+    /** Records what another entry heard from a target. */
+    void onPeerStatement(Target target, boolean leaving, double requestsPerSecond) {
+        if (leaving) {
+            if (directory.markLeaving(target.key())) {
+                logLeaving(target, "peer");
+            }
+        } else if (targetSelector.limits().onStated(target.key(), requestsPerSecond)) {
+            logLimit(target, requestsPerSecond, "peer");
+        }
+    }
+
+    void setStatementListener(ProxyServer.StatementListener listener) {
+        statementListener = listener;
+    }
+
+    private void logLimit(Target target, double requestsPerSecond, String source) {
         Events.log(
                 logger,
                 EventCode.TARGET_LIMIT,
@@ -102,10 +115,28 @@
                 target.instanceId(),
                 "service",
                 target.service(),
-                "status",
-                head.status(),
                 "requestsPerSecond",
-                head.requestLimit());
+                requestsPerSecond,
+                "limitedTargets",
+                targetSelector.limits().count(),
+                "source",
+                source);
+    }
+
+    private void logLeaving(Target target, String source) {
+        Events.log(
+                logger,
+                EventCode.TARGET_LEAVING,
+                "target",
+                target.instanceId(),
+                "startedMillis",
+                target.startedMillis(),
+                "service",
+                target.service(),
+                "registeredAsDraining",
+                target.draining(),
+                "source",
+                source);
     }
 
     boolean draining() {
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -137,7 +137,7 @@
             Reason shortage = state.targetSelector.shortage(service);
             fail(
                     ResultCode.NO_TARGET,
-                    (shortage == Reason.TARGETS_FULL ? "no free place at any target" : "no available target")
+                    (shortage == Reason.TARGETS_FULL ? "no free place or turn at any target" : "no available target")
                             + " of service " + service + ", " + triedTargets.size() + " tried",
                     shortage);
             return;
@@ -166,7 +166,7 @@
             TargetConnectionPool.close(lease.connection());
             return;
         }
-        if (!state.directory.isServing(lease.target())) {
+        if (!state.targetSelector.tryBegin(lease.target())) {
             TargetConnectionPool.close(lease.connection());
             sendToTarget(matchedRoute);
             return;
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -114,10 +114,10 @@
         load.onBytesReceived(state.time.monotonicNanos());
         head = received;
         if (received.leaving()) {
-            state.onTargetLeaving(target, received.status());
+            state.onTargetLeaving(target);
         }
-        if (load.onStatedLimit(received.requestLimit())) {
-            state.onTargetLimit(target, received);
+        if (!received.wrongInstance()) {
+            state.onTargetLimit(target, received.requestLimit());
         }
         if (received.notExecuted()) {
             executions.recordNotExecuted();
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -66,6 +66,18 @@
         }
     }
 
+    /**
+     * What a target newly stated of itself in a response to the sender.
+     *
+     * @param ip IP address of the target
+     * @param port port of the target
+     * @param startedMillis start time of the target in Unix milliseconds
+     * @param leaving whether the target leaves; if not, the statement is about the limit
+     * @param requestsPerSecond rate that the target takes from all entries together, or negative if it states none
+     */
+    record TargetStatement(String ip, int port, long startedMillis, boolean leaving, double requestsPerSecond)
+            implements MeshMessage {}
+
     /**
      * Message that the receiver forwards to the other processes of a role in its own availability zone.
      *
