Targets that refuse with Retry-After get nothing from this entry for that time

Nothing read the header, so the target was selected again at once. A success does not end it, as it may answer an earlier request. It is asked again before a request is written.

--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -32,6 +32,7 @@
     STORE_ERA(408, Severity.WARN, "The store states another era than before, as after its return from an older copy."),
     TARGET_LEAVING(409, Severity.INFO, "A target said in a response that it leaves."),
     TARGET_LIMIT(410, Severity.INFO, "A target stated another request limit than before; negative means none."),
+    TARGET_DECLINED(411, Severity.INFO, "A target refused and wants no requests from this entry for a time."),
     LINK_REFUSED(501, Severity.WARN, "A peer failed authentication or sent a bad frame; its link was closed."),
     LINK_UP(502, Severity.INFO, "A link to a peer is up."),
     LINK_DOWN(503, Severity.INFO, "A link to a peer is down."),
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
@@ -27,6 +27,7 @@
     private long lastReceivedNanos = Long.MIN_VALUE;
     private long suspendedUntilNanos = Long.MIN_VALUE;
     private long unreachableUntilNanos = Long.MIN_VALUE;
+    private long declinedUntilNanos = Long.MIN_VALUE;
 
     /** Records that a request was sent to the target. */
     public void onSend() {
@@ -91,9 +92,25 @@
         unreachableUntilNanos = nowNanos + UNREACHABLE_REPORT_TTL_NANOS;
     }
 
-    /** Returns whether the target is neither suspended nor reported unreachable. */
+    /**
+     * Records that the target wants no requests from this entry for a time. Unlike a suspension this does not end with a
+     * successful response, which may be to an earlier request. Returns whether the time ends later than was known.
+     */
+    public boolean onDeclined(long nowNanos, Duration duration) {
+        long untilNanos = nowNanos + duration.toNanos();
+        boolean later = untilNanos > declinedUntilNanos;
+        declinedUntilNanos = Math.max(declinedUntilNanos, untilNanos);
+        return later;
+    }
+
+    /** Returns whether the target wants no requests from this entry. */
+    public boolean isDeclined(long nowNanos) {
+        return nowNanos < declinedUntilNanos;
+    }
+
+    /** Returns whether the target is not suspended, not reported unreachable, and wants requests from this entry. */
     public boolean isAvailable(long nowNanos) {
-        return nowNanos >= suspendedUntilNanos && nowNanos >= unreachableUntilNanos;
+        return nowNanos >= suspendedUntilNanos && nowNanos >= unreachableUntilNanos && !isDeclined(nowNanos);
     }
 
     /** Returns the share of recent requests that failed, which decays over time. */
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -96,7 +96,9 @@
      * before a request is written, as the target may have changed since it was selected.
      */
     public boolean tryBegin(Target target) {
-        return directory.isServing(target) && limits.tryTake(target.key());
+        return directory.isServing(target)
+                && !load(target).isDeclined(time.monotonicNanos())
+                && limits.tryTake(target.key());
     }
 
     /**
--- a/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
@@ -1,6 +1,7 @@
 package firwheel.proxy.server;
 
 import io.vertx.core.MultiMap;
+import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,6 +15,7 @@
  * @param leaving whether the target states that it is shutting down
  * @param requestLimit requests per second that the target states to take from all entries together; negative if it states
  *     none
+ * @param retryAfter time for which the target states to want no requests from this entry, or null
  * @param contentEncoded whether the body has a content encoding, which no client requested
  * @param keepAliveMillis time for which the target keeps an idle connection open, or 0 if not stated
  * @param closesConnection whether the target closes the connection after the response
@@ -27,6 +29,7 @@
         boolean wrongInstance,
         boolean leaving,
         double requestLimit,
+        @Nullable Duration retryAfter,
         boolean contentEncoded,
         long keepAliveMillis,
         boolean closesConnection,
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -1,5 +1,7 @@
 package firwheel.proxy.server;
 
+import firwheel.model.EventCode;
+import firwheel.model.Events;
 import firwheel.proxy.attempt.EventSplitter;
 import firwheel.proxy.attempt.ExecutionTracker;
 import firwheel.proxy.balance.TargetLoad;
@@ -8,7 +10,10 @@
 import firwheel.proxy.targets.Target;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One attempt to execute a request at a target. It reports exactly one final outcome to its listener, unless it is
@@ -39,6 +44,7 @@
         boolean onStalled(TargetAttempt attempt);
     }
 
+    private static final Logger logger = LoggerFactory.getLogger(TargetAttempt.class);
     private static final long STREAM_STALL_TIMEOUT_MILLIS =
             1_700; // above the 1.5 s that a group waits for a lost rank, below the 2 s limit of clients
     private static final long MIN_STALL_TIMEOUT_MILLIS = 250; // several times the duration of a plain request
@@ -119,6 +125,18 @@
         if (!received.wrongInstance()) {
             state.onTargetLimit(target, received.requestLimit());
         }
+        Duration retryAfter = received.retryAfter();
+        if (retryAfter != null && load.onDeclined(state.time.monotonicNanos(), retryAfter)) {
+            Events.log(
+                    logger,
+                    EventCode.TARGET_DECLINED,
+                    "target",
+                    target.instanceId(),
+                    "service",
+                    target.service(),
+                    "retryAfterMillis",
+                    retryAfter.toMillis());
+        }
         if (received.notExecuted()) {
             executions.recordNotExecuted();
         }
