An event of a stream without end is given up

An event longer than 1 MiB made EventSplitter throw in the handler of the body; nothing caught it, so the entry went on collecting bytes until the caller's deadline. The attempt now fails and its connection is closed. Heads and other bodies without end were bounded before.

--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -11,6 +11,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -150,9 +151,7 @@
         }
         load.onBytesReceived(state.time.monotonicNanos());
         if (isStream(responseHead)) {
-            for (EventSplitter.Event event : splitter.accept(bytes.getBytes())) {
-                onStreamEvent(responseHead, event);
-            }
+            onStreamBytes(responseHead, bytes);
             return;
         }
         responseBody.appendBuffer(bytes);
@@ -217,6 +216,18 @@
         return responseHead.signed() && !responseHead.contentEncoded();
     }
 
+    private void onStreamBytes(ResponseHead responseHead, Buffer bytes) {
+        List<EventSplitter.Event> events;
+        try {
+            events = splitter.accept(bytes.getBytes());
+        } catch (IllegalStateException e) {
+            exchange.cancel();
+            onFailure(String.valueOf(e.getMessage()));
+            return;
+        }
+        events.forEach(event -> onStreamEvent(responseHead, event));
+    }
+
     private void onStreamEvent(ResponseHead responseHead, EventSplitter.Event event) {
         if (ended) {
             return;
