--- a/proxy/src/main/java/firwheel/proxy/balance/LimitShare.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/LimitShare.java
@@ -6,8 +6,8 @@
 
 /**
  * This entry's share of the request rate that a target takes from all entries together. Each entry may send one request
- * a period, which is as long as all entries together need to send one each at that rate. Periods begin at a random time,
- * and an unused turn expires, so that entries do not send at the same time after a quiet interval.
+ * a period, which is as long as all entries together need to send one each at that rate. Periods begin at a random
+ * time, and an unused turn expires, so that entries do not send at the same time after a quiet interval.
  */
 final class LimitShare {
     private static final long TURN_NANOS =
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
@@ -93,8 +93,8 @@
     }
 
     /**
-     * Records that the target wants no requests from this entry for a time. Unlike a suspension this does not end with a
-     * successful response, which may be to an earlier request. Returns whether the time ends later than was known.
+     * Records that the target wants no requests from this entry for a time. Unlike a suspension this does not end with
+     * a successful response, which may be to an earlier request. Returns whether the time ends later than was known.
      */
     public boolean onDeclined(long nowNanos, Duration duration) {
         long untilNanos = nowNanos + duration.toNanos();
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -102,9 +102,9 @@
     }
 
     /**
-     * Returns why no target of {@code service} can be selected: all that serve are full or limited, or none serves. A full
-     * or limited target is not selected, because a queue that formed in a short shortage would never drain at a load near the capacity,
-     * and would delay all later requests.
+     * Returns why no target of {@code service} can be selected: all that serve are full or limited, or none serves. A
+     * full target is not selected, because a queue that formed in a short shortage would never drain at a load near the
+     * capacity, and would delay all later requests.
      */
     public RetryAfterPolicy.Reason shortage(String service) {
         return findAvailable(service, Set.of(), time.monotonicNanos()).isEmpty()
--- a/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
@@ -13,7 +13,8 @@
  * @param notExecuted whether the target states that it did not execute the request and will not
  * @param wrongInstance whether a process other than the expected one uses the address
  * @param leaving whether the target states that it is shutting down
- * @param requestLimit requests per second that the target states to take from all entries together; negative if it states
+ * @param requestLimit requests per second that the target states to take from all entries together; negative if it
+ * states
  *     none
  * @param retryAfter time for which the target states to want no requests from this entry, or null
  * @param contentEncoded whether the body has a content encoding, which no client requested
--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -38,8 +38,8 @@
     }
 
     /**
-     * Adds a target or replaces its previous registration. An incarnation that was registered as draining leaves, even if
-     * a delayed or restored registration says otherwise later.
+     * Adds a target or replaces its previous registration. An incarnation that was registered as draining leaves, even
+     * if a delayed or restored registration says otherwise later.
      */
     public void put(Target target) {
         if (target.draining()) {
@@ -62,8 +62,8 @@
     }
 
     /**
-     * Records that an incarnation of a target leaves, which is final: it gets no new requests, whatever its registration
-     * says. Returns whether this was not known.
+     * Records that an incarnation of a target leaves, which is final: it gets no new requests, whatever its
+     * registration says. Returns whether this was not known.
      */
     public boolean markLeaving(Target.Key key) {
         if (!leaving.add(key)) {
