--- a/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
@@ -14,8 +14,7 @@
  * @param wrongInstance whether a process other than the expected one uses the address
  * @param leaving whether the target states that it is shutting down
  * @param requestLimit requests per second that the target states to take from all entries together; negative if it
- * states
- *     none
+ *     states none
  * @param retryAfter time for which the target states to want no requests from this entry, or null
  * @param contentEncoded whether the body has a content encoding, which no client requested
  * @param keepAliveMillis time for which the target keeps an idle connection open, or 0 if not stated
