Listeners hear of a retired target when it is no longer listed

TargetDirectory called its listener before it rebuilt the index, so whoever acted on the news, here the test on another thread, could see the old list. The index is rebuilt first now; no check was changed.

--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -15,7 +15,7 @@
     /** Is notified of targets that must receive no new requests. */
     @FunctionalInterface
     public interface RetirementListener {
-        /** Called when an incarnation of a target drains, is removed or is replaced. */
+        /** Called when an incarnation of a target drains, leaves, is removed or replaced, and is no longer listed. */
         void onRetired(Target target);
     }
 
@@ -46,18 +46,18 @@
             leaving.add(target.key());
         }
         Target previous = byId.put(target.instanceId(), target);
+        rebuildIndex();
         if (previous != null && (target.draining() || !previous.key().equals(target.key()))) {
             retirementListener.onRetired(previous);
         }
-        rebuildIndex();
     }
 
     /** Removes a target; unknown identifiers are ignored. */
     public void remove(String instanceId) {
         Target previous = byId.remove(instanceId);
         if (previous != null) {
-            retirementListener.onRetired(previous);
             rebuildIndex();
+            retirementListener.onRetired(previous);
         }
     }
 
@@ -71,8 +71,8 @@
         }
         Target registered = byId.get(key.instanceId());
         if (registered != null && registered.key().equals(key)) {
-            retirementListener.onRetired(registered);
             rebuildIndex();
+            retirementListener.onRetired(registered);
         }
         return true;
     }
