Failures of requests that cannot be retried wait for no probe

Read in the diff, not seen by callers: a request that had lost a target before waited for the result of the probe, up to the connect timeout, also if the route allows no further target. The result matters only for a retry.

--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -244,12 +244,16 @@
                 request, new ForwardingMetadata(lease.target(), organisationName, remainingMillis, lastEventId), body);
     }
 
+    private boolean mayRetry() {
+        return route != null && executions.mayRetry(route.retryable(), route.maxAttempts());
+    }
+
     /** Retries the request at another target; returns false if a retry is not allowed. */
     private boolean retry(String reason) {
         Route matchedRoute = route;
         if (matchedRoute == null
                 || finished
-                || !executions.mayRetry(matchedRoute.retryable(), matchedRoute.maxAttempts())
+                || !mayRetry()
                 || state.crashGuard.judge(this::fingerprint) == Verdict.REFUSED) {
             return false;
         }
@@ -438,7 +442,7 @@
     public void onResponseLost(TargetAttempt attempt, String reason) {
         var probe = connectionLost ? state.probe(attempt.target()) : null;
         boolean suspected = state.crashGuard.judge(this::fingerprint) != Verdict.UNSUSPECTED;
-        if (probe != null && suspected) {
+        if (probe != null && suspected && mayRetry()) {
             // Whether the target has ended decides whether another one may get the request.
             var unused = probe.onComplete(done -> retryLostResponse(reason));
         } else {
