Failing tests: a lapsed registration ends what a target asked for

A registration that lapses and returns with the same incarnation ends the time for which the target wants no requests, and its limit. Both tests fail on this code (a target selected where none is expected; no limit where one is expected).

--- a/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
@@ -15,6 +15,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class TargetSelectorTest {
@@ -116,6 +117,48 @@
         }
     }
 
+    @Nested
+    final class LapsedRegistrations {
+        private final Target target = rank(0, true);
+        private final TargetDirectory directory = directory(1, true);
+        private final TargetSelector selector = selector(directory);
+
+        private void lapseAndReturn() {
+            directory.remove(target.instanceId());
+            selector.removeRetired();
+            time.advance(Duration.ofSeconds(1));
+            directory.put(target);
+        }
+
+        @Test
+        @Tag("known-red")
+        void doNotEndTheTimeForWhichATargetWantsNoRequests() {
+            selector.load(target).onDeclined(time.monotonicNanos(), Duration.ofSeconds(3));
+
+            lapseAndReturn();
+
+            assertThat(selector.select("svc", Set.of())).isNull();
+            assertThat(selector.tryBegin(target)).isFalse();
+            time.advance(Duration.ofSeconds(2));
+            assertThat(selector.tryBegin(target)).isTrue();
+        }
+
+        @Test
+        @Tag("known-red")
+        void doNotEndALimit() {
+            selector.setEntryCount(1_000);
+            selector.limits().onStated(target.key(), 1);
+
+            lapseAndReturn();
+
+            assertThat(selector.limits().count()).isEqualTo(1);
+            directory.remove(target.instanceId());
+            time.advance(Duration.ofMinutes(2));
+            selector.removeRetired();
+            assertThat(selector.limits().count()).isZero();
+        }
+    }
+
     @Nested
     final class OtherTargetsResponding {
         @Test
