A lapsed registration does not end the time for which a target wants nothing

A target that had asked for rest got requests in that time if its registration lapsed in an outage of the store and returned with the same incarnation. Cause: the record of its load was dropped as soon as it was not listed, and the time with it. The record is kept until the time ends.

--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -80,12 +80,17 @@
         return loads.computeIfAbsent(target.key(), key -> new TargetLoad());
     }
 
-    /** Removes the load records of targets that no longer exist. */
+    /**
+     * Removes the load records of targets that no longer exist. A registration may lapse and return, so what a target
+     * asked for is kept until it ends.
+     */
     public void removeRetired() {
+        long now = time.monotonicNanos();
         loads.entrySet()
                 .removeIf(entry -> isRetired(entry.getKey())
                         && entry.getValue().inFlight() == 0
-                        && !entry.getValue().hasSuspect());
+                        && !entry.getValue().hasSuspect()
+                        && !entry.getValue().isDeclined(now));
         limits.removeRetired(this::isRetired);
     }
 
--- a/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
@@ -131,7 +131,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void doNotEndTheTimeForWhichATargetWantsNoRequests() {
             selector.load(target).onDeclined(time.monotonicNanos(), Duration.ofSeconds(3));
 
