--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -5,12 +5,10 @@
 import firwheel.proxy.attempt.EventSplitter;
 import firwheel.proxy.attempt.ExecutionTracker;
 import firwheel.proxy.balance.RetryAfterPolicy.Reason;
-import firwheel.proxy.balance.TargetLoad;
 import firwheel.proxy.config.Organisation;
 import firwheel.proxy.config.RequestKind;
 import firwheel.proxy.config.Route;
 import firwheel.proxy.config.RoutingConfig;
-import firwheel.proxy.crash.CrashLedger.Verdict;
 import firwheel.proxy.crash.RequestFingerprint;
 import firwheel.proxy.targets.Target;
 import io.vertx.core.buffer.Buffer;
@@ -42,6 +40,7 @@
     private final ResponseTiming timing = new ResponseTiming();
     private final ExecutionTracker executions = new ExecutionTracker();
     private final Set<Target.Key> triedTargets = new HashSet<>();
+    private final RequestSuspicion suspicion;
     private Buffer body = Buffer.buffer();
     private @Nullable Route route;
     private @Nullable Organisation organisation;
@@ -49,10 +48,6 @@
     private long deadlineNanos;
     private long deadlineTimer = -1;
     private @Nullable TargetAttempt currentAttempt;
-    private @Nullable RequestFingerprint fingerprint;
-    private @Nullable TargetLoad suspectingLoad;
-    private boolean connectionLost;
-    private boolean trial;
     private @Nullable String lastEventId;
     private boolean finished;
     private boolean ended;
@@ -65,6 +60,7 @@
         this.onEnd = onEnd;
         arrivedNanos = state.time.monotonicNanos();
         lastEventId = metadata.lastEventId();
+        suspicion = new RequestSuspicion(state, this::computeFingerprint);
         log = new RequestLog(metadata.attemptId(), executions::sends, this::configVersion, this::elapsedMillis);
         clientResponse = new ClientResponse(request, state.draining(), this::end);
     }
@@ -88,8 +84,7 @@
             return;
         }
         route = matchedRoute;
-        Verdict verdict = state.crashGuard.judge(this::fingerprint);
-        trial = verdict == Verdict.REFUSED && state.crashGuard.tryBeginTrial(fingerprint());
+        suspicion.onArrival();
         service = matchedRoute.selectService(state.random.getAsDouble());
         state.retryBudget(service).onRequest();
         long allowedMillis = metadata.deadlineMillis() > 0
@@ -140,36 +135,29 @@
         return host == null ? "" : host;
     }
 
-    /** Returns what identifies the request to a target. */
-    private RequestFingerprint fingerprint() {
-        RequestFingerprint known = fingerprint;
-        if (known == null) {
-            String key = metadata.apiKey();
-            String caller = organisation != null ? "organisation " + organisation.name() : "key " + key;
-            known = RequestFingerprint.of(request.method().name(), host(), request.uri(), caller, body.getBytes());
-            fingerprint = known;
-        }
-        return known;
+    private RequestFingerprint computeFingerprint() {
+        String caller = organisation != null ? "organisation " + organisation.name() : "key " + metadata.apiKey();
+        return RequestFingerprint.of(request.method().name(), host(), request.uri(), caller, body.getBytes());
     }
 
     /** Ends the request if targets crash under it; returns whether it has ended. */
-    private boolean refuseIfCrashing(Verdict verdict) {
-        if (verdict != Verdict.REFUSED || (trial && executions.sends() == 0)) {
+    private boolean refuseIfCrashing() {
+        if (!suspicion.isRefused(executions.sends())) {
             return false;
         }
         fail(
                 ResultCode.CRASHES_TARGETS,
-                "targets crashed while they ran request " + fingerprint().value(),
+                "targets crashed while they ran request "
+                        + suspicion.fingerprint().value(),
                 Reason.CRASHES_TARGETS);
         return true;
     }
 
     private void sendToTarget(Route matchedRoute) {
-        Verdict verdict = state.crashGuard.judge(this::fingerprint);
-        if (refuseIfCrashing(verdict)) {
+        if (refuseIfCrashing()) {
             return;
         }
-        Target target = selectTarget(connectionLost || verdict != Verdict.UNSUSPECTED);
+        Target target = suspicion.selectTarget(service, triedTargets);
         if (target == null) {
             Reason shortage = state.targetSelector.shortage(service);
             fail(
@@ -189,26 +177,6 @@
         });
     }
 
-    private @Nullable Target selectTarget(boolean suspected) {
-        releaseSuspicion();
-        if (!suspected) {
-            return state.targetSelector.select(service, triedTargets);
-        }
-        Target target = state.targetSelector.selectForSuspect(service, triedTargets);
-        if (target != null) {
-            suspectingLoad = state.targetSelector.load(target);
-            suspectingLoad.addSuspect();
-        }
-        return target;
-    }
-
-    private void releaseSuspicion() {
-        if (suspectingLoad != null) {
-            suspectingLoad.removeSuspect();
-            suspectingLoad = null;
-        }
-    }
-
     private void onConnectFailed(Route matchedRoute, Target target, Throwable cause) {
         state.targetSelector.load(target).onUnreachable(state.time.monotonicNanos());
         triedTargets.add(target.key());
@@ -226,7 +194,7 @@
             TargetConnectionPool.close(lease.connection());
             return;
         }
-        if (refuseIfCrashing(state.crashGuard.judge(this::fingerprint))) {
+        if (refuseIfCrashing()) {
             TargetConnectionPool.close(lease.connection());
             return;
         }
@@ -251,10 +219,7 @@
     /** Retries the request at another target; returns false if a retry is not allowed. */
     private boolean retry(String reason) {
         Route matchedRoute = route;
-        if (matchedRoute == null
-                || finished
-                || !mayRetry()
-                || state.crashGuard.judge(this::fingerprint) == Verdict.REFUSED) {
+        if (matchedRoute == null || finished || !mayRetry() || suspicion.isRefused(executions.sends())) {
             return false;
         }
         if (!state.targetSelector.hasCandidate(service, triedTargets)
@@ -316,7 +281,7 @@
     /** Cancels an attempt whose response is no longer wanted, which its target may owe because it has crashed. */
     private void abandon(TargetAttempt attempt) {
         if (attempt.isPending()) {
-            state.crashGuard.onResponseAbandoned(fingerprint(), attempt.target());
+            suspicion.onResponseAbandoned(attempt.target());
             attempt.cancel();
         }
     }
@@ -327,7 +292,7 @@
         }
         recordChunk();
         if (head.success()) {
-            state.crashGuard.onAnswered(this::fingerprint);
+            suspicion.onAnswered();
         }
         finish(head.success() ? "complete" : "target-failure");
         log.completed(service, target, head.status(), timing);
@@ -348,7 +313,7 @@
 
     private void finish(String outcome) {
         finished = true;
-        releaseSuspicion();
+        suspicion.release();
         if (deadlineTimer >= 0) {
             state.vertx.cancelTimer(deadlineTimer);
         }
@@ -398,7 +363,7 @@
             forwardResponse(attempt.target(), head, Buffer.buffer());
             return;
         }
-        state.crashGuard.onAnswered(this::fingerprint);
+        suspicion.onAnswered();
         finish("complete");
         log.completed(service, attempt.target(), HTTP_OK, timing);
         clientResponse.endStream();
@@ -434,15 +399,13 @@
 
     @Override
     public void onConnectionLost(TargetAttempt attempt) {
-        connectionLost = true;
-        state.crashGuard.onResponseLost(fingerprint(), attempt.target());
+        suspicion.onConnectionLost(attempt.target());
     }
 
     @Override
     public void onResponseLost(TargetAttempt attempt, String reason) {
-        var probe = connectionLost ? state.probe(attempt.target()) : null;
-        boolean suspected = state.crashGuard.judge(this::fingerprint) != Verdict.UNSUSPECTED;
-        if (probe != null && suspected && mayRetry()) {
+        var probe = suspicion.connectionLost() ? state.probe(attempt.target()) : null;
+        if (probe != null && suspicion.isSuspected() && mayRetry()) {
             // Whether the target has ended decides whether another one may get the request.
             var unused = probe.onComplete(done -> retryLostResponse(reason));
         } else {
