One good map for each shift of demand

Cause: demand shifts every 3.1 s, and with a half-life of 340 ms the first map after a shift was planned mostly from demand that was gone, so a second one had to follow.

A reading that is several times as far from the estimate as usual now starts the estimate anew (ShiftDetector). Groups of up to 31 ranks are read every 125 ms, larger ones at 250 rank states a second at most, and each group right after a rollout (ReadPace).

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -27,10 +27,7 @@
  * controller for the election timeout. All methods run on one event loop.
  */
 public final class MapController {
-    private static final Duration READ_INTERVAL =
-            Duration.ofMillis(250); // a quarter of the time to load and switch to a new map
-    private static final Duration MIN_READ_PAUSE =
-            Duration.ofMillis(50); // leaves the host to its engine and to calls that end a reading late
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
     private static final Duration LOADING_INTERVAL = Duration.ofMillis(60); // about the time to load one expert
     private static final Duration HOLD_INTERVAL =
             Duration.ofMillis(5); // short, since the hold must be released before the group reaches the step
@@ -60,6 +57,7 @@
     private final ControllerEnvironment environment;
     private final ReadingLog readingLog;
     private final CallTimeouts timeouts = new CallTimeouts();
+    private final ReadPace readPace = new ReadPace();
     private final MapInUse mapInUse = new MapInUse();
     private final Map<Integer, RankClient.Route> ranks = new TreeMap<>();
     private String group = "";
@@ -94,7 +92,7 @@
 
     /** Starts the controller, which runs until the process ends. */
     public void start() {
-        vertx.setTimer(READ_INTERVAL.toMillis(), id -> tick());
+        vertx.setTimer(ReadPace.interval(0).toMillis(), id -> tick());
     }
 
     private void tick() {
@@ -112,13 +110,13 @@
         });
     }
 
-    /** Agents must hear of the controller within the election timeout, so the duration of a reading is deducted. */
     private long nextTickDelayMillis(long iterationMillis) {
         MapRollout active = rollout;
         if (active != null) {
             return (active.mayBlockGroup() ? HOLD_INTERVAL : LOADING_INTERVAL).toMillis();
         }
-        return Math.max(MIN_READ_PAUSE.toMillis(), READ_INTERVAL.toMillis() - iterationMillis);
+        return readPace.nextPause(ranks.size(), Duration.ofMillis(iterationMillis))
+                .toMillis();
     }
 
     /** Waits for requests from a controller and campaigns for election after the election timeout. */
@@ -323,7 +321,8 @@
     /** Selections are read while experts are loaded, so that the next map is planned from recent demand. */
     private boolean selectionsDue(MapRollout active) {
         return active.phase() == MapRollout.Phase.PREPARING
-                && time.monotonicNanos() - lastSelectionsNanos >= READ_INTERVAL.toNanos();
+                && time.monotonicNanos() - lastSelectionsNanos
+                        >= ReadPace.interval(ranks.size()).toNanos();
     }
 
     private CompletableFuture<Void> onIncompleteRead(MapRollout active) {
@@ -377,6 +376,7 @@
         }
         takeoverComplete = true;
         rollout = null;
+        readPace.onRolloutEnded();
     }
 
     private CompletableFuture<Boolean> sendOrder(MapRollout active, RankOrder order) {
@@ -389,7 +389,7 @@
 
     private void report(Map<Integer, RankCall.Reading> readings, Set<EngineAddress> calledDirectly) {
         long now = time.monotonicNanos();
-        if (now - lastReportNanos < READ_INTERVAL.toNanos() * 4 / 5) {
+        if (now - lastReportNanos < REPORT_INTERVAL.toNanos() * 4 / 5) {
             return;
         }
         lastReportNanos = now;
--- a/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
@@ -14,10 +14,10 @@
 
 /**
  * Decides whether to change the expert map of a group, and plans the new map. Tracks expert selections as an
- * exponentially weighted mean, because demand shifts within seconds. Does no I/O.
+ * exponentially weighted mean, which starts anew when demand shifts. Does no I/O.
  */
 public final class MapPolicy {
-    private static final double HALF_LIFE_MILLIS = 340; // a shift of demand dominates the estimate after two readings
+    private static final double HALF_LIFE_MILLIS = 340; // averages the noise of a few readings
     private static final double MIN_IMPROVEMENT = 0.12; // steps are 15% slower while experts are loaded
     private static final double MIN_IMPROVEMENT_PER_LOAD = 0.01; // of a rank's mean load; loading slows down steps
     private static final double MIN_SELECTIONS_PER_EXPERT =
@@ -38,6 +38,7 @@
     private final int spareSlots;
     private final Duration expertLoadTime;
     private final IncrementalPlanner planner = new IncrementalPlanner();
+    private final ShiftDetector shiftDetector = new ShiftDetector();
     private @Nullable LoadEstimate estimate;
 
     /**
@@ -86,7 +87,18 @@
                 layerLoad[expert] *= scale;
             }
         }
-        estimate = estimate == null ? LoadEstimate.of(byLayer) : estimate.updated(byLayer, updateWeight(interval));
+        LoadEstimate known = estimate;
+        estimate = known == null || shiftDetector.isShift(tokens(known), byLayer)
+                ? LoadEstimate.of(byLayer)
+                : known.updated(byLayer, updateWeight(interval));
+    }
+
+    private double[][] tokens(LoadEstimate load) {
+        double[][] tokens = new double[layers][];
+        for (int layer = 0; layer < layers; layer++) {
+            tokens[layer] = load.layer(layer);
+        }
+        return tokens;
     }
 
     private static double updateWeight(Duration interval) {
--- a/rebalance/src/test/java/firwheel/rebalance/MapPolicyTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapPolicyTest.java
@@ -192,6 +192,31 @@
         }
     }
 
+    /** The reading in which demand shifts covers old and new demand; the next one only the new. */
+    @Nested
+    final class Shift {
+        @Test
+        void isFollowedByAGoodMapOnceAReadingCoversOnlyNewDemand() {
+            long[] before = skewedSelections(1);
+            long[] after = skewedSelections(2);
+            for (int i = 0; i < 4; i++) {
+                policy.onSelections(before, READ_INTERVAL);
+            }
+            long[] mixed = new long[before.length];
+            for (int i = 0; i < mixed.length; i++) {
+                mixed[i] = (before[i] + after[i]) / 2;
+            }
+            policy.onSelections(mixed, READ_INTERVAL);
+            policy.onSelections(after, READ_INTERVAL);
+
+            int[][][] plan = planOrCurrent(contiguousPlacement(), nominalSpeed());
+
+            MapPolicy newDemand = new MapPolicy(LAYERS, EXPERTS, SLOTS_PER_RANK, SPARE_SLOTS, EXPERT_LOAD_TIME);
+            newDemand.onSelections(after, READ_INTERVAL);
+            assertThat(newDemand.imbalance(plan, nominalSpeed())).isLessThan(1.25);
+        }
+    }
+
     /** All ranks wait for the slowest one in each layer, so a slow rank must get little load. */
     @Nested
     final class SlowRank {
