Readings that are always noisy are no shift of demand

The usual distance started at zero and was not updated by readings taken for a shift. An estimate that starts anew from one reading is noisy itself, so with noise above the least distance each reading counted as a shift, and maps were planned from single readings.

The usual distance now starts with the first one, and every reading counts, up to twice the usual. ShiftDetectorTest plays readings that are each compared with the one before.

--- a/rebalance/src/main/java/firwheel/rebalance/ShiftDetector.java
+++ b/rebalance/src/main/java/firwheel/rebalance/ShiftDetector.java
@@ -5,20 +5,23 @@
  * the differences between their shares, is compared with the usual distance of readings without a shift.
  */
 final class ShiftDetector {
-    private static final double MIN_DISTANCE = 0.1; // a smaller shift changes the load of a rank little
+    private static final double MIN_DISTANCE = 0.15; // a smaller shift changes the load of a rank little
     private static final double MIN_RATIO = 3; // to the usual distance
     private static final double USUAL_WEIGHT = 0.2; // of the latest reading in the usual distance
+    private static final double MAX_GROWTH = 2; // of a reading over the usual distance; a shift says little about noise
 
-    private double usualDistance;
+    private double usualDistance = -1; // none known
 
     /** Returns whether demand has shifted between the estimate and a reading, which have the same total. */
     boolean isShift(double[][] estimate, double[][] reading) {
         double distance = distance(estimate, reading);
-        if (distance > Math.max(MIN_DISTANCE, MIN_RATIO * usualDistance)) {
-            return true;
+        if (usualDistance < 0) {
+            usualDistance = distance;
+            return false;
         }
-        usualDistance += USUAL_WEIGHT * (distance - usualDistance);
-        return false;
+        boolean shift = distance > Math.max(MIN_DISTANCE, MIN_RATIO * usualDistance);
+        usualDistance += USUAL_WEIGHT * (Math.min(distance, MAX_GROWTH * usualDistance) - usualDistance);
+        return shift;
     }
 
     private static double distance(double[][] estimate, double[][] reading) {
--- a/rebalance/src/test/java/firwheel/rebalance/ShiftDetectorTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/ShiftDetectorTest.java
@@ -44,6 +44,21 @@
             assertThat(shiftsSeen(skewedDemand(), 0.1)).isZero();
         }
 
+        /** An estimate that started anew from one reading is as noisy as the readings that are compared with it. */
+        @Test
+        void isNoShiftIfEachReadingIsComparedWithTheOneBefore() {
+            double[][] demand = skewedDemand();
+            double[][] estimate = demand;
+            int shifts = 0;
+            for (int i = 0; i < READINGS; i++) {
+                double[][] reading = noisy(demand, 0.3);
+                shifts += detector.isShift(estimate, reading) ? 1 : 0;
+                estimate = reading;
+            }
+
+            assertThat(shifts).isZero();
+        }
+
         /** Few requests in a reading make its noise larger than the least distance that counts. */
         @Test
         void isNoShiftOnceItIsUsual() {
