Groups that have lost a rank: what refusals name, later epochs, waits

GroupStates now holds what is known of a group: a refusal that names another rank closes it at once, and the statement about the latest epoch holds, so that a registration of a new epoch is not overruled by an older report. Load reports carry the epoch and the number of ranks that could not be read. While all ranks can be read and the group is not open, requests without a response wait (HeldRequests, GroupWait): in order of deadlines, 1.8 s after arrival at the most, 256 requests and 8 MiB, refused at once when a rank is missing again.

PlatformEntryTest.LostRank.endsRequestsToItsGroupAndDelaysTheirRetry checks that the second rank gets no request; GroupOutageTest plays callers of an outage of three seconds.

--- a/mesh/src/test/java/firwheel/mesh/MeshTest.java
+++ b/mesh/src/test/java/firwheel/mesh/MeshTest.java
@@ -29,7 +29,9 @@
     private static final int RANKS = 63;
     private static final GroupLoad LOAD = new GroupLoad(
             "group-0",
+            1,
             true,
+            0,
             IntStream.range(0, RANKS)
                     .mapToObj(rank -> new TargetLoad("10.11.12." + rank, 8_381, 1_780_000_000_000L + rank, 21, 1.25))
                     .toList(),
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -40,13 +40,11 @@
     private final TimeSource time;
     private final DoubleSupplier random;
     private final Map<Target.Key, TargetLoad> loads = new HashMap<>();
-    private final Map<String, GroupState> groups = new HashMap<>();
+    private final GroupStates groups;
     private final Map<String, ArrayDeque<Long>> recentSelections = new HashMap<>();
     private final StatedLimits limits;
     private int entryCount = 1;
 
-    private record GroupState(boolean open, long reportedNanos) {}
-
     /** Creates a selector; {@code random} draws uniformly between 0 and 1. */
     public TargetSelector(TargetDirectory directory, String localZone, TimeSource time, DoubleSupplier random) {
         this.directory = directory;
@@ -54,6 +52,7 @@
         this.time = time;
         this.random = random;
         limits = new StatedLimits(time, random);
+        groups = new GroupStates(time);
     }
 
     /** Returns the request limits that targets state. */
@@ -67,12 +66,9 @@
         limits.setEntryCount(entryCount);
     }
 
-    /**
-     * Records a report of whether a group is serving. Until it expires, the report overrides the registry, which is
-     * updated with a delay.
-     */
-    public void onGroupState(String group, boolean open) {
-        groups.put(group, new GroupState(open, time.monotonicNanos()));
+    /** Returns what is known of the model groups. */
+    public GroupStates groups() {
+        return groups;
     }
 
     /** Returns the load record of a target. */
@@ -120,6 +116,22 @@
                 : RetryAfterPolicy.Reason.TARGETS_FULL;
     }
 
+    /** Returns whether a target of {@code service} can take a request. */
+    public boolean hasPlace(String service) {
+        return hasCandidate(service, Set.of());
+    }
+
+    /** Returns the time in which a group of {@code service} is expected to open, or null if none is forming. */
+    public @Nullable Duration timeToOpen(String service) {
+        Duration shortest = null;
+        for (Target target : directory.serving(service)) {
+            GroupMembership group = target.group();
+            Duration left = group == null ? null : groups.timeToOpen(group);
+            shortest = left != null && (shortest == null || left.compareTo(shortest) < 0) ? left : shortest;
+        }
+        return shortest;
+    }
+
     /** Returns whether a target of {@code service} that is not in {@code tried} can be selected. */
     public boolean hasCandidate(String service, Set<Target.Key> tried) {
         return !findCandidates(service, tried, time.monotonicNanos()).isEmpty();
@@ -173,7 +185,7 @@
     private List<Target> findAvailable(String service, Set<Target.Key> tried, long now) {
         List<Target> candidates = new ArrayList<>();
         for (Target target : directory.serving(service)) {
-            if (isServing(target, now)
+            if (isServing(target)
                     && !tried.contains(target.key())
                     && load(target).isAvailable(now)) {
                 candidates.add(target);
@@ -182,16 +194,9 @@
         return candidates;
     }
 
-    private boolean isServing(Target target, long now) {
+    private boolean isServing(Target target) {
         GroupMembership group = target.group();
-        if (group == null) {
-            return true;
-        }
-        GroupState reported = groups.get(group.name());
-        if (reported == null || now - reported.reportedNanos() > MAX_REPORT_AGE.toNanos()) {
-            return group.open();
-        }
-        return reported.open();
+        return group == null || groups.isOpen(group);
     }
 
     private double[] computeEffectiveLoads(List<Target> targets, long now) {
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyMetrics.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyMetrics.java
@@ -1,6 +1,7 @@
 package firwheel.proxy.server;
 
 import firwheel.model.ResultCode;
+import firwheel.proxy.balance.HeldRequests;
 import firwheel.proxy.targets.TargetDirectory;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
@@ -8,6 +9,7 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
 
 /** Counters and latency histograms of an entry. Label values are never taken from requests. */
 public final class ProxyMetrics {
@@ -29,6 +31,11 @@
             .help("Requests sent to another target, by reason.")
             .labelNames("reason")
             .register(registry);
+    private final Counter waits = Counter.builder()
+            .name("firwheel_group_waits")
+            .help("Requests that waited for a group to open, by how the wait ended.")
+            .labelNames("end")
+            .register(registry);
     private final Histogram firstByte = Histogram.builder()
             .name("firwheel_first_byte_seconds")
             .help("Time to the first byte of the answer, by kind of request.")
@@ -80,6 +87,10 @@
         retries.labelValues(reason).inc();
     }
 
+    void countWait(HeldRequests.End end) {
+        waits.labelValues(end.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     void recordFirstByte(String kind, double seconds) {
         firstByte.labelValues(kind).observe(seconds);
     }
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -4,6 +4,7 @@
 import firwheel.model.Events;
 import firwheel.model.ResultCode;
 import firwheel.model.TimeSource;
+import firwheel.proxy.balance.GroupStates;
 import firwheel.proxy.balance.RetryBudget;
 import firwheel.proxy.balance.StatedLimits;
 import firwheel.proxy.balance.TargetSelector;
@@ -190,9 +191,9 @@
         state.crashGuard.onPeerReport(report);
     }
 
-    /** Records a report of whether a model group is serving. */
-    public void onGroupState(String group, boolean open) {
-        state.targetSelector.onGroupState(group, open);
+    /** Records a report of the controller of a model group. */
+    public void onGroupReading(GroupStates.Reading reading) {
+        state.targetSelector.groups().onReport(reading);
     }
 
     /** Sets the number of entries that send to the same targets and share the retry budget. */
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -34,6 +34,7 @@
     final DoubleSupplier random;
     final RetryAfterPolicy retryAfterPolicy;
     final CrashGuard crashGuard;
+    final GroupWait groupWait;
     private final Map<Target.Key, Future<TargetConnectionPool.Reachability>> probes = new HashMap<>();
     private final Supplier<RetryBudget> retryBudgetFactory;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
@@ -60,6 +61,7 @@
         this.metrics = metrics;
         this.random = random;
         crashGuard = new CrashGuard(time);
+        groupWait = new GroupWait(vertx, time, targetSelector, metrics);
         retryAfterPolicy = new RetryAfterPolicy(random);
         this.retryBudgetFactory = retryBudgetFactory;
     }
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -4,6 +4,7 @@
 import firwheel.model.ResultCode;
 import firwheel.proxy.attempt.EventSplitter;
 import firwheel.proxy.attempt.ExecutionTracker;
+import firwheel.proxy.balance.HeldRequests;
 import firwheel.proxy.balance.RetryAfterPolicy.Reason;
 import firwheel.proxy.config.Organisation;
 import firwheel.proxy.config.RequestKind;
@@ -24,7 +25,7 @@
  * Handles one request: selects a target, forwards the request and its response, and retries at another target after a
  * failure if the request may be executed there. All methods run on the event loop of the entry.
  */
-final class RequestHandler implements TargetAttempt.Listener {
+final class RequestHandler implements TargetAttempt.Listener, GroupWait.Waiter {
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final int HTTP_OK = 200;
@@ -159,12 +160,9 @@
         }
         Target target = suspicion.selectTarget(service, triedTargets);
         if (target == null) {
-            Reason shortage = state.targetSelector.shortage(service);
-            fail(
-                    ResultCode.NO_TARGET,
-                    (shortage == Reason.TARGETS_FULL ? "no free place or turn at any target" : "no available target")
-                            + " of service " + service + ", " + triedTargets.size() + " tried",
-                    shortage);
+            if (!waitForGroup()) {
+                failWithoutTarget();
+            }
             return;
         }
         boolean newConnection = matchedRoute.kind() == RequestKind.AT_MOST_ONCE;
@@ -177,6 +175,42 @@
         });
     }
 
+    private void failWithoutTarget() {
+        Reason shortage = state.targetSelector.shortage(service);
+        fail(
+                ResultCode.NO_TARGET,
+                (shortage == Reason.TARGETS_FULL ? "no free place or turn at any target" : "no available target")
+                        + " of service " + service + ", " + triedTargets.size() + " tried",
+                shortage);
+    }
+
+    /** Waits for a group of the service to open if one is forming; returns whether it waits. */
+    private boolean waitForGroup() {
+        boolean waits = !clientResponse.started()
+                && state.groupWait.tryWait(this, service, arrivedNanos, deadlineNanos, body.length());
+        if (waits) {
+            log.waits(service);
+        }
+        return waits;
+    }
+
+    @Override
+    public void onWaitEnded(HeldRequests.End end) {
+        Route matchedRoute = route;
+        if (finished || matchedRoute == null) {
+            return;
+        }
+        log.waited(service, end);
+        if (end != HeldRequests.End.OPEN) {
+            failWithoutTarget();
+        } else if (executions.sends() == 0 || state.retryBudget(service).tryAcquire()) {
+            triedTargets.clear();
+            sendToTarget(matchedRoute);
+        } else {
+            failWithoutTarget();
+        }
+    }
+
     private void onConnectFailed(Route matchedRoute, Target target, Throwable cause) {
         state.targetSelector.load(target).onUnreachable(state.time.monotonicNanos());
         triedTargets.add(target.key());
@@ -232,6 +266,11 @@
         return true;
     }
 
+    /** Retries the request now or once a group is open; returns false if neither is possible. */
+    private boolean retryOrWait(String reason) {
+        return retry(reason) || (!finished && mayRetry() && waitForGroup());
+    }
+
     /**
      * Ends the request without a response from a target: closes the connection if the response has already started,
      * otherwise sends an error response.
@@ -313,6 +352,7 @@
 
     private void finish(String outcome) {
         finished = true;
+        state.groupWait.cancel(this);
         suspicion.release();
         if (deadlineTimer >= 0) {
             state.vertx.cancelTimer(deadlineTimer);
@@ -376,7 +416,7 @@
 
     @Override
     public void onNotExecuted(TargetAttempt attempt, ResponseHead head) {
-        if (!retry("not-run")) {
+        if (!retryOrWait("not-run")) {
             fail(
                     ResultCode.TARGET_REFUSED,
                     "target " + attempt.target().instanceId() + " rejected the request with status " + head.status(),
@@ -414,7 +454,7 @@
     }
 
     private void retryLostResponse(String reason) {
-        if (!retry("broken")) {
+        if (!retryOrWait("broken")) {
             fail(
                     clientResponse.started() ? ResultCode.STREAM_BROKEN : ResultCode.OUTCOME_UNKNOWN,
                     reason,
--- a/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
@@ -3,9 +3,11 @@
 import firwheel.model.EventCode;
 import firwheel.model.Events;
 import firwheel.model.ResultCode;
+import firwheel.proxy.balance.HeldRequests;
 import firwheel.proxy.targets.Target;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -42,6 +44,14 @@
                 error.retryAfter().toMillis());
     }
 
+    void waits(String service) {
+        write(EventCode.REQUEST_WAITS, "service", service);
+    }
+
+    void waited(String service, HeldRequests.End end) {
+        write(EventCode.REQUEST_WAITED, "service", service, "end", end.name().toLowerCase(Locale.ROOT));
+    }
+
     void retried(String reason, @Nullable Target target) {
         write(EventCode.REQUEST_REPEATED, "reason", reason, "target", target == null ? "none" : target.instanceId());
     }
--- a/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
@@ -11,6 +11,7 @@
  * @param attemptId identifier of the attempt that the target responds to, or null if absent
  * @param signed whether the target signed the response
  * @param notExecuted whether the target states that it did not execute the request and will not
+ * @param faultyTarget address or identifier of the target because of which the request was not executed, or null
  * @param wrongInstance whether a process other than the expected one uses the address
  * @param leaving whether the target states that it is shutting down
  * @param requestLimit requests per second that the target states to take from all entries together; negative if it
@@ -26,6 +27,7 @@
         @Nullable String attemptId,
         boolean signed,
         boolean notExecuted,
+        @Nullable String faultyTarget,
         boolean wrongInstance,
         boolean leaving,
         double requestLimit,
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -148,6 +148,9 @@
         }
         if (received.notExecuted()) {
             executions.recordNotExecuted();
+            if (received.faultyTarget() != null) {
+                state.targetSelector.groups().onRefused(target, received.faultyTarget());
+            }
         }
     }
 
--- a/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
@@ -64,11 +64,11 @@
         @Test
         void prefersRecentGroupReportsOverTheRegistry() {
             TargetSelector openSelector = selector(directory(3, true));
-            openSelector.onGroupState("g", false);
+            openSelector.groups().onReport(new GroupStates.Reading("g", 1, false, 0));
             assertThat(openSelector.select("svc", Set.of())).isNull();
 
             TargetSelector closedSelector = selector(directory(3, false));
-            closedSelector.onGroupState("g", true);
+            closedSelector.groups().onReport(new GroupStates.Reading("g", 1, true, 0));
             assertThat(closedSelector.select("svc", Set.of())).isNotNull();
 
             time.advance(Duration.ofSeconds(2));
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -195,7 +195,7 @@
                 size = reading.state().groupSize();
             }
         }
-        report(readings, environment.knownEngines().get());
+        report(readings, size, environment.knownEngines().get());
         ReadingLog.Reading read = new ReadingLog.Reading(group, term, agents, readings.size(), size, startedNanos);
         readingLog.record(read, evaluate(readings, size));
     }
@@ -304,6 +304,7 @@
                     // Engines are read directly only while a hold may block the group.
                     report(
                             readings,
+                            ranks.size(),
                             active.mayBlockGroup() ? environment.knownEngines().get() : Set.of());
                     List<RankView> views = GroupReadings.views(readings, ranks.size());
                     if (views.isEmpty()) {
@@ -387,12 +388,12 @@
         return client.sendOrder(rank, term, order, timeouts.forOrder(active, order.action()));
     }
 
-    private void report(Map<Integer, RankCall.Reading> readings, Set<EngineAddress> calledDirectly) {
+    private void report(Map<Integer, RankCall.Reading> readings, int size, Set<EngineAddress> calledDirectly) {
         long now = time.monotonicNanos();
         if (now - lastReportNanos < REPORT_INTERVAL.toNanos() * 4 / 5) {
             return;
         }
         lastReportNanos = now;
-        environment.reports().accept(GroupReport.of(group, readings.values(), calledDirectly));
+        environment.reports().accept(GroupReport.of(group, size, readings.values(), calledDirectly));
     }
 }
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -43,11 +43,19 @@
      * Loads of the targets of one group, each read on the target's own host, all at about the same time.
      *
      * @param group name of the group
+     * @param epoch epoch of the group, incremented each time it is formed
      * @param stepping whether the group is running steps; false if a rank is missing
+     * @param missingRanks number of ranks that could not be read
      * @param targets loads of the ranks that could be read
      * @param unreachable ranks that could not be read over any path
      */
-    record GroupLoad(String group, boolean stepping, List<TargetLoad> targets, List<TargetAddress> unreachable)
+    record GroupLoad(
+            String group,
+            long epoch,
+            boolean stepping,
+            int missingRanks,
+            List<TargetLoad> targets,
+            List<TargetAddress> unreachable)
             implements MeshMessage {
         private static final int MAX_TARGETS_PER_PART = 24; // keeps a part within one packet
 
@@ -56,7 +64,8 @@
             List<GroupLoad> parts = new ArrayList<>();
             int count = Math.max(targets.size(), unreachable.size());
             for (int from = 0; from == 0 || from < count; from += MAX_TARGETS_PER_PART) {
-                parts.add(new GroupLoad(group, stepping, part(targets, from), part(unreachable, from)));
+                parts.add(new GroupLoad(
+                        group, epoch, stepping, missingRanks, part(targets, from), part(unreachable, from)));
             }
             return parts;
         }
