A target that starts later at an address displaces the earlier one there

A registration with a later start time at the same address now ends the use of the earlier one, also if that is written again late. Start times are those of one host; if its clock was set back both stay in use as before. The earlier target is not marked as leaving, so its end still counts as a possible crash. Load reports, which name an address, now find the later one.

TargetDirectoryTest.LaterProcessAtTheSameAddress fails without the change (both are listed).

--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -20,15 +20,11 @@
     }
 
     // Incarnations that leave are remembered after their registration is gone, since an old one may come back.
-    private static final int MAX_LEAVING = 4_096;
+    private static final int MAX_REMEMBERED = 4_096;
 
     private final Map<String, Target> byId = new LinkedHashMap<>();
-    private final Set<Target.Key> leaving = Collections.newSetFromMap(new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Target.Key, Boolean> eldest) {
-            return size() > MAX_LEAVING;
-        }
-    });
+    private final Set<Target.Key> leaving = newBoundedSet();
+    private final Set<Target.Key> replaced = newBoundedSet();
     private Map<String, List<Target>> servingByService = Map.of();
     private final RetirementListener retirementListener;
 
@@ -37,6 +33,15 @@
         this.retirementListener = retirementListener;
     }
 
+    private static Set<Target.Key> newBoundedSet() {
+        return Collections.newSetFromMap(new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Target.Key, Boolean> eldest) {
+                return size() > MAX_REMEMBERED;
+            }
+        });
+    }
+
     /**
      * Adds a target or replaces its previous registration. An incarnation that was registered as draining leaves, even
      * if a delayed or restored registration says otherwise later.
@@ -45,6 +50,11 @@
         if (target.draining()) {
             leaving.add(target.key());
         }
+        byId.values().stream()
+                .filter(other -> isEarlierAtSameAddress(other, target))
+                .forEach(other -> {
+                    replaced.add(other.key());
+                });
         Target previous = byId.put(target.instanceId(), target);
         rebuildIndex();
         if (previous != null && (target.draining() || !previous.key().equals(target.key()))) {
@@ -52,6 +62,19 @@
         }
     }
 
+    /**
+     * Returns whether {@code other} has ended because {@code target} started later at its address; its registration
+     * lapses seconds later. Start times are those of one host, whose clock may have been set back, in which case both
+     * stay in use.
+     */
+    private static boolean isEarlierAtSameAddress(Target other, Target target) {
+        return other.port() == target.port()
+                && other.ip().equals(target.ip())
+                && !other.instanceId().equals(target.instanceId())
+                && other.startedMillis() > 0
+                && other.startedMillis() < target.startedMillis();
+    }
+
     /** Removes a target; unknown identifiers are ignored. */
     public void remove(String instanceId) {
         Target previous = byId.remove(instanceId);
@@ -84,7 +107,7 @@
 
     /** Returns whether a registered target accepts new requests. */
     private boolean accepts(Target target) {
-        return !target.draining() && !leaving.contains(target.key());
+        return !target.draining() && !leaving.contains(target.key()) && !replaced.contains(target.key());
     }
 
     /** Returns the targets of a service that accept new requests. */
@@ -100,7 +123,7 @@
     /** Returns the target at an address, or null. */
     public @Nullable Target findByAddress(String ip, int port) {
         for (Target target : byId.values()) {
-            if (target.port() == port && target.ip().equals(ip)) {
+            if (target.port() == port && target.ip().equals(ip) && !replaced.contains(target.key())) {
                 return target;
             }
         }
--- a/proxy/src/test/java/firwheel/proxy/targets/TargetDirectoryTest.java
+++ b/proxy/src/test/java/firwheel/proxy/targets/TargetDirectoryTest.java
@@ -28,4 +28,38 @@
             assertThat(servingAtRetirement).containsExactly(0, 0);
         }
     }
+
+    /** After a restart a target has another identifier, and its earlier registration lapses seconds later. */
+    @Nested
+    final class LaterProcessAtTheSameAddress {
+        private Target startedAt(String id, long startedMillis) {
+            return new Target(id, startedMillis, "svc", "10.0.0.9", 80, "zone-a", 8, false, null);
+        }
+
+        @Test
+        void takesTheRequestsOfTheEarlierOne() {
+            directory.put(startedAt("i-1", 7));
+            directory.put(startedAt("i-2", 8));
+            directory.put(startedAt("i-1", 7));
+
+            assertThat(directory.serving("svc")).extracting(Target::instanceId).containsExactly("i-2");
+            assertThat(directory.findByAddress("10.0.0.9", 80)).isEqualTo(startedAt("i-2", 8));
+        }
+
+        @Test
+        void doesNotDisplaceItIfTheClockWasSetBack() {
+            directory.put(startedAt("i-1", 7));
+            directory.put(startedAt("i-2", 6));
+
+            assertThat(directory.serving("svc")).extracting(Target::instanceId).contains("i-2");
+        }
+
+        @Test
+        void doesNotAffectOtherPorts() {
+            directory.put(startedAt("i-1", 7));
+            directory.put(new Target("i-2", 8, "svc", "10.0.0.9", 81, "zone-a", 8, false, null));
+
+            assertThat(directory.serving("svc")).hasSize(2);
+        }
+    }
 }
