One entry reads the store for the others

Now an entry that polls announces each answer, with the changes of registrations, to all others. The others make no calls while they hear of recent answers (ReaderRole: 0.6 of the time within which a change must be in force), read by themselves when they do not, each after another random delay, and follow again when they hear of a reader with a lower address. There is no election. What an entry misses it fetches from the announcing entry as a difference, the configuration compressed, or reads it from the store after 300 ms. Agents read the configuration only when they control a group.

StoreFeedsTest plays readers that are turned away, not answered, ended, suspended and that read a restored store; without the reads of followers all eight tests fail. FeedSimulationTest plays eleven faults with 1, 3, 16 and 66 entries in virtual time and finds no change late.

--- a/bench/src/main/java/firwheel/bench/routing/VirtualEventLoop.java
+++ b/bench/src/main/java/firwheel/bench/VirtualEventLoop.java
@@ -1,4 +1,4 @@
-package firwheel.bench.routing;
+package firwheel.bench;
 
 import firwheel.model.ManualTimeSource;
 import java.time.Duration;
@@ -6,27 +6,29 @@
 import java.util.PriorityQueue;
 
 /** Event loop in virtual time; actions due at the same time run in the order in which they were scheduled. */
-final class VirtualEventLoop {
+public final class VirtualEventLoop {
     private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
     private final PriorityQueue<Action> actions = new PriorityQueue<>();
     private long nextOrder;
 
-    ManualTimeSource time() {
+    /** Returns the virtual time. */
+    public ManualTimeSource time() {
         return time;
     }
 
-    long nowNanos() {
+    /** Returns the virtual time in nanoseconds. */
+    public long nowNanos() {
         return time.monotonicNanos();
     }
 
     /** Schedules {@code body} to run after {@code delayNanos} of virtual time. */
-    void schedule(long delayNanos, Runnable body) {
+    public void schedule(long delayNanos, Runnable body) {
         actions.add(new Action(nowNanos() + delayNanos, nextOrder, body));
         nextOrder++;
     }
 
     /** Runs the actions due up to and including {@code endNanos}. */
-    void runUntil(long endNanos) {
+    public void runUntil(long endNanos) {
         while (!actions.isEmpty() && actions.peek().atNanos() <= endNanos) {
             Action next = actions.remove();
             time.advance(Duration.ofNanos(next.atNanos() - nowNanos()));
--- a/bench/src/main/java/firwheel/bench/routing/LockStepGroup.java
+++ b/bench/src/main/java/firwheel/bench/routing/LockStepGroup.java
@@ -1,5 +1,6 @@
 package firwheel.bench.routing;
 
+import firwheel.bench.VirtualEventLoop;
 import java.util.List;
 
 /** A group of ranks that run in lock step: each step lasts as long as that of the slowest rank. */
--- a/bench/src/main/java/firwheel/bench/routing/RoutingSimulation.java
+++ b/bench/src/main/java/firwheel/bench/routing/RoutingSimulation.java
@@ -1,5 +1,6 @@
 package firwheel.bench.routing;
 
+import firwheel.bench.VirtualEventLoop;
 import firwheel.model.RankAddress;
 import firwheel.model.RankKey;
 import firwheel.model.RowState;
--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -41,6 +41,7 @@
     TARGET_LIMIT(410, Severity.INFO, "A target stated another request limit than before; negative means none."),
     TARGET_DECLINED(411, Severity.INFO, "A target refused and wants no requests from this entry for a time."),
     GROUP_STATE(412, Severity.INFO, "A model group was reported in another state, or to have lost a rank."),
+    STORE_READER(413, Severity.INFO, "An entry starts or stops polling the store; the event says why."),
     LINK_REFUSED(501, Severity.WARN, "A peer failed authentication or sent a bad frame; its link was closed."),
     LINK_UP(502, Severity.INFO, "A link to a peer is up."),
     LINK_DOWN(503, Severity.INFO, "A link to a peer is down."),
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -104,6 +104,45 @@
         public static final int MAX_REPORTS = 6;
     }
 
+    /**
+     * Answer of the store to the sender, with the state that the sender has read from it.
+     *
+     * @param ip IP address of the process that read the store; the datagram may be forwarded by another one
+     * @param incarnation start time of that process in Unix milliseconds
+     * @param sequence number that the process increments with each answer; the same number announces no further answer
+     * @param era era of the store
+     * @param configRevision revision up to which the process knows all changes of the configuration
+     * @param registryRevision revision up to which it knows all changes of the target registry
+     * @param configVersion version of its configuration, or -1
+     * @param registryPosition position of the latest change of the registry
+     * @param removalDelayMillis time for which removals from the registry are still deferred
+     * @param fromPosition position after which {@code changes} holds all changes of the registry
+     * @param changes changes of the registry; empty if there are none or they do not fit into a datagram
+     */
+    record StoreNews(
+            String ip,
+            long incarnation,
+            long sequence,
+            long era,
+            long configRevision,
+            long registryRevision,
+            long configVersion,
+            long registryPosition,
+            long removalDelayMillis,
+            long fromPosition,
+            List<RowChange> changes)
+            implements MeshMessage {}
+
+    /**
+     * Change of one row of the target registry.
+     *
+     * @param key key of the row
+     * @param value value, or empty if the row was removed
+     * @param revision revision of the change
+     */
+    @SuppressWarnings("ArrayRecordComponent") // not modified after creation
+    record RowChange(String key, byte[] value, long revision) {}
+
     /**
      * Message that the receiver forwards to the other processes of a role in its own availability zone.
      *
--- a/wire/src/main/java/firwheel/wire/MessageCodec.java
+++ b/wire/src/main/java/firwheel/wire/MessageCodec.java
@@ -33,6 +33,7 @@
         mapper.configOverride(MeshMessage.Member.class).setFormat(arrayFormat);
         mapper.configOverride(MeshMessage.TargetLoad.class).setFormat(arrayFormat);
         mapper.configOverride(MeshMessage.CrashReport.class).setFormat(arrayFormat);
+        mapper.configOverride(MeshMessage.RowChange.class).setFormat(arrayFormat);
         mapper.configOverride(MeshMessage.TargetAddress.class).setFormat(arrayFormat);
     }
 
--- a/wire/src/main/java/firwheel/wire/MessageType.java
+++ b/wire/src/main/java/firwheel/wire/MessageType.java
@@ -32,7 +32,8 @@
     GROUP_LOAD(51, MeshMessage.GroupLoad.class),
     ZONE_RELAY(52, MeshMessage.ZoneRelay.class),
     TARGET_STATEMENT(53, MeshMessage.TargetStatement.class),
-    CRASH_REPORTS(54, MeshMessage.CrashReports.class);
+    CRASH_REPORTS(54, MeshMessage.CrashReports.class),
+    STORE_NEWS(55, MeshMessage.StoreNews.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
