A new process counts the moment for announcements from when it can hear them

They now read by themselves at once only after they have joined and no answer is announced for a moment.

--- a/mesh/src/main/java/firwheel/mesh/ReaderRole.java
+++ b/mesh/src/main/java/firwheel/mesh/ReaderRole.java
@@ -67,8 +67,7 @@
     private long readNanos;
 
     /**
-     * Creates the role of a process that has just started. It waits only for a moment for announcements, since all
-     * readers may have been restarted.
+     * Creates the role of a process that has just started and does not hear announcements yet.
      *
      * @param random source of numbers from 0 to 1
      */
@@ -77,8 +76,15 @@
         this.random = random;
         this.selfIp = selfIp;
         this.limits = limits;
-        answeredNanos = time.monotonicNanos();
-        readNanos = answeredNanos + randomDelayNanos();
+        recordAnswer();
+    }
+
+    /**
+     * Records that announcements arrive from now on. This process waits for them only for a moment, since all readers
+     * may have been restarted.
+     */
+    public void onJoined() {
+        readNanos = Math.min(readNanos, time.monotonicNanos() + randomDelayNanos());
     }
 
     /** Returns whether this process polls the store. */
--- a/mesh/src/test/java/firwheel/mesh/ReaderRoleTest.java
+++ b/mesh/src/test/java/firwheel/mesh/ReaderRoleTest.java
@@ -27,14 +27,21 @@
         @Test
         void readsSoonIfNoAnswerIsAnnounced() {
             assertThat(role.reading()).isFalse();
+            role.onJoined();
             assertThat(role.untilRead()).isEqualTo(limits.spread());
             role.onAnswer();
 
             assertThat(role.untilRead()).isEqualTo(limits.spread());
         }
 
+        @Test
+        void readsInTimeIfItCannotJoin() {
+            assertThat(role.untilRead()).isLessThan(BOUND);
+        }
+
         @Test
         void followsAReaderThatAnnouncesAnAnswer() {
+            role.onJoined();
             role.onAnnounced(new Answer(HIGHER, 1, 1));
 
             assertThat(role.untilRead()).isGreaterThanOrEqualTo(limits.maxAge());
