--- a/cli/src/main/java/firwheel/cli/Commands.java
+++ b/cli/src/main/java/firwheel/cli/Commands.java
@@ -37,6 +37,7 @@
             new Subcommand("load", "Generates load on entries and verifies every response.", LoadCommand::new),
             new Subcommand("explain", "Prints the timeline of a request from log files.", ExplainCommand::new),
             new Subcommand("bench", "Measures cost slopes or prints the capacity tables.", BenchCommand::new),
+            new Subcommand("experiment", "Compares decisions on emulated days.", ExperimentCommand::new),
             new Subcommand("version", "Prints the version.", VersionCommand::new));
 
     private Commands() {}
--- a/proxy/src/main/java/firwheel/proxy/balance/HeldRequests.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/HeldRequests.java
@@ -39,8 +39,10 @@
      * @param untilNanos monotonic time at which the wait ends
      * @param deadlineNanos monotonic time at which its client leaves
      * @param bytes bytes that are kept for it
+     * @param whileForming whether the wait also ends when no group of the service is forming any more
      */
-    public record Held<T>(T request, String service, long untilNanos, long deadlineNanos, int bytes) {}
+    public record Held<T>(
+            T request, String service, long untilNanos, long deadlineNanos, int bytes, boolean whileForming) {}
 
     /** A request that waits no longer, and why. */
     public record Ended<T>(T request, End end) {}
@@ -101,7 +103,7 @@
         if (now >= candidate.untilNanos()) {
             return End.EXPIRED;
         }
-        return isForming.test(candidate.service()) ? null : End.NOT_FORMING;
+        return !candidate.whileForming() || isForming.test(candidate.service()) ? null : End.NOT_FORMING;
     }
 
     private void remove(Held<T> candidate) {
--- a/proxy/src/main/java/firwheel/proxy/balance/RetryAfterPolicy.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/RetryAfterPolicy.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 
 /**
  * Calculates how long rejected clients should wait before they retry. A client retries once and waits for at most a
@@ -28,16 +29,31 @@
             this.minShare = minShare;
             this.maxShare = maxShare;
         }
+
+        /** Returns the spread that is used unless another one is chosen. */
+        public Spread spread() {
+            return new Spread(minShare, maxShare);
+        }
     }
 
+    /** Range from which the share of the longest wait is drawn. */
+    public record Spread(double minShare, double maxShare) {}
+
     private static final double MAX_DELAY_SHARE = 1.0 / 3; // of the remaining time; clients do not wait longer
     private static final Duration MIN_DELAY = Duration.ofMillis(50); // time for a new connection and its first packets
 
     private final DoubleSupplier random;
+    private final Function<Reason, Spread> spreads;
 
     /** Creates a policy; {@code random} draws uniformly between 0 and 1. */
     public RetryAfterPolicy(DoubleSupplier random) {
+        this(random, Reason::spread);
+    }
+
+    /** Creates a policy with other spreads than those of the reasons. */
+    public RetryAfterPolicy(DoubleSupplier random, Function<Reason, Spread> spreads) {
         this.random = random;
+        this.spreads = spreads;
     }
 
     /**
@@ -49,8 +65,8 @@
         if (maxDelayMillis < MIN_DELAY.toMillis()) {
             return Duration.ZERO;
         }
-        double spread = reason.maxShare - reason.minShare;
-        double share = reason.minShare + spread * random.getAsDouble();
+        Spread spread = spreads.apply(reason);
+        double share = spread.minShare() + (spread.maxShare() - spread.minShare()) * random.getAsDouble();
         return Duration.ofMillis(Math.max(MIN_DELAY.toMillis(), (long) (maxDelayMillis * share)));
     }
 }
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -121,6 +121,13 @@
         return hasCandidate(service, Set.of());
     }
 
+    /** Returns whether targets of {@code service} are ranks of groups of which none is open. */
+    public boolean hasClosedGroup(String service) {
+        List<Target> serving = directory.serving(service);
+        return serving.stream().anyMatch(target -> target.group() != null)
+                && serving.stream().noneMatch(this::isServing);
+    }
+
     /** Returns the time in which a group of {@code service} is expected to open, or null if none is forming. */
     public @Nullable Duration timeToOpen(String service) {
         Duration shortest = null;
--- a/proxy/src/main/java/firwheel/proxy/config/Route.java
+++ b/proxy/src/main/java/firwheel/proxy/config/Route.java
@@ -1,5 +1,6 @@
 package firwheel.proxy.config;
 
+import java.time.Duration;
 import java.util.List;
 
 /**
@@ -16,6 +17,7 @@
  * @param priority priority of the requests; 0 is the highest
  * @param authenticationExempt whether requests need no API key
  * @param resumable whether a stream may resume at another target after its last complete event
+ * @param patience time after which a client leaves if it has received nothing
  */
 public record Route(
         String name,
@@ -28,7 +30,8 @@
         long latencyObjectiveMillis,
         int priority,
         boolean authenticationExempt,
-        boolean resumable) {
+        boolean resumable,
+        Duration patience) {
     /** Validates the fields that routing decisions depend on. */
     public Route {
         services = List.copyOf(services);
--- a/proxy/src/main/java/firwheel/proxy/server/GroupWait.java
+++ b/proxy/src/main/java/firwheel/proxy/server/GroupWait.java
@@ -5,7 +5,10 @@
 import firwheel.proxy.balance.HeldRequests.End;
 import firwheel.proxy.balance.HeldRequests.Ended;
 import firwheel.proxy.balance.HeldRequests.Held;
+import firwheel.proxy.balance.ReturnedCallers;
 import firwheel.proxy.balance.TargetSelector;
+import firwheel.proxy.balance.WaitPolicy;
+import firwheel.proxy.config.Route;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 
@@ -20,29 +23,63 @@
     private static final long POLL_MILLIS = 20; // a fraction of the time in which a caller expects the first event
     private static final int MAX_REQUESTS = 256; // more than the places of a group that fall to one entry
     private static final long MAX_BYTES = 8L << 20;
-    /** Callers leave after 2 s without a first event. */
-    private static final Duration FIRST_EVENT_WAIT = Duration.ofMillis(1_800);
+
+    /**
+     * A request that finds no target.
+     *
+     * @param route route of the request
+     * @param service service that it asks for
+     * @param returned whether its caller has come back after a refusal
+     * @param arrivedNanos monotonic time at which it arrived
+     * @param deadlineNanos monotonic time at which its client leaves
+     * @param bytes bytes that are kept for it
+     */
+    record Request(Route route, String service, boolean returned, long arrivedNanos, long deadlineNanos, int bytes) {}
 
     private final Vertx vertx;
+    private final TimeSource time;
+    private final WaitPolicy policy;
+    private final ReturnedCallers returnedCallers;
     private final TargetSelector selector;
     private final HeldRequests<Waiter> held;
     private final ProxyMetrics metrics;
     private boolean polling;
 
-    GroupWait(Vertx vertx, TimeSource time, TargetSelector selector, ProxyMetrics metrics) {
+    GroupWait(Vertx vertx, TimeSource time, TargetSelector selector, WaitPolicy policy, ProxyMetrics metrics) {
         this.vertx = vertx;
+        this.time = time;
+        this.policy = policy;
+        returnedCallers = new ReturnedCallers(time);
         this.selector = selector;
         this.metrics = metrics;
         held = new HeldRequests<>(time, MAX_REQUESTS, MAX_BYTES);
     }
 
-    /** Lets a request wait if a group of its service is forming and its client stays; returns whether it waits. */
-    boolean tryWait(Waiter waiter, String service, long arrivedNanos, long deadlineNanos, int bytes) {
-        if (selector.timeToOpen(service) == null) {
+    /** Records a request and returns whether its caller has probably come back after a refusal. */
+    boolean isReturn(Route route, long deadlineMillis) {
+        return returnedCallers.onRequest(route.name(), deadlineMillis);
+    }
+
+    /** Lets a request that finds no group open wait if the policy says so; returns whether it waits. */
+    boolean tryWait(Waiter waiter, Request request) {
+        boolean forming = selector.timeToOpen(request.service()) != null;
+        if (!forming && !selector.hasClosedGroup(request.service())) {
             return false;
         }
-        long untilNanos = Math.min(deadlineNanos, arrivedNanos + FIRST_EVENT_WAIT.toNanos());
-        boolean added = held.tryAdd(new Held<>(waiter, service, untilNanos, deadlineNanos, bytes));
+        long now = time.monotonicNanos();
+        WaitPolicy.Situation situation = new WaitPolicy.Situation(
+                forming,
+                request.returned(),
+                request.route().patience(),
+                Duration.ofNanos(now - request.arrivedNanos()));
+        boolean added = held.tryAdd(new Held<>(
+                waiter,
+                request.service(),
+                Math.min(
+                        request.deadlineNanos(), now + policy.maxWait(situation).toNanos()),
+                request.deadlineNanos(),
+                request.bytes(),
+                policy.endsUnlessForming(situation)));
         if (added && !polling) {
             polling = true;
             startTimer();
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -7,6 +7,7 @@
 import firwheel.proxy.balance.RetryBudget;
 import firwheel.proxy.balance.StatedLimits;
 import firwheel.proxy.balance.TargetSelector;
+import firwheel.proxy.balance.WaitPolicy;
 import firwheel.proxy.config.RoutingConfig;
 import firwheel.proxy.targets.Target;
 import firwheel.proxy.targets.TargetDirectory;
@@ -61,7 +62,7 @@
         this.metrics = metrics;
         this.random = random;
         crashGuard = new CrashGuard(time);
-        groupWait = new GroupWait(vertx, time, targetSelector, metrics);
+        groupWait = new GroupWait(vertx, time, targetSelector, WaitPolicy.whileForming(), metrics);
         retryAfterPolicy = new RetryAfterPolicy(random);
         this.retryBudgetFactory = retryBudgetFactory;
     }
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -46,6 +46,7 @@
     private @Nullable Route route;
     private @Nullable Organisation organisation;
     private String service = "";
+    private boolean returned;
     private long deadlineNanos;
     private long deadlineTimer = -1;
     private @Nullable TargetAttempt currentAttempt;
@@ -86,11 +87,10 @@
         }
         route = matchedRoute;
         suspicion.onArrival();
+        returned = state.groupWait.isReturn(matchedRoute, metadata.deadlineMillis());
         service = matchedRoute.selectService(state.random.getAsDouble());
         state.retryBudget(service).onRequest();
-        long allowedMillis = metadata.deadlineMillis() > 0
-                ? Math.min(metadata.deadlineMillis(), matchedRoute.timeoutMillis())
-                : matchedRoute.timeoutMillis();
+        long allowedMillis = Math.min(metadata.deadlineOr(matchedRoute.timeoutMillis()), matchedRoute.timeoutMillis());
         deadlineNanos = arrivedNanos + allowedMillis * NANOS_PER_MILLI;
         deadlineTimer = state.vertx.setTimer(Math.max(1, allowedMillis), id -> onTimeout());
         sendToTarget(matchedRoute);
@@ -186,8 +186,13 @@
 
     /** Waits for a group of the service to open if one is forming; returns whether it waits. */
     private boolean waitForGroup() {
-        boolean waits = !clientResponse.started()
-                && state.groupWait.tryWait(this, service, arrivedNanos, deadlineNanos, body.length());
+        Route matchedRoute = route;
+        boolean waits = matchedRoute != null
+                && !clientResponse.started()
+                && state.groupWait.tryWait(
+                        this,
+                        new GroupWait.Request(
+                                matchedRoute, service, returned, arrivedNanos, deadlineNanos, body.length()));
         if (waits) {
             log.waits(service);
         }
@@ -293,15 +298,8 @@
         }
     }
 
-    /**
-     * Returns the delay after which the client should retry. A client that stated no deadline is assumed to wait for
-     * the timeout of the route.
-     */
     private Duration retryDelay(Reason reason) {
-        long deadlineMillis = metadata.deadlineMillis();
-        if (deadlineMillis == 0 && route != null) {
-            deadlineMillis = route.timeoutMillis();
-        }
+        long deadlineMillis = metadata.deadlineOr(route == null ? 0 : route.timeoutMillis());
         return state.retryAfterPolicy.retryDelay(reason, Duration.ofMillis(deadlineMillis - elapsedMillis()));
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/RequestMetadata.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestMetadata.java
@@ -18,4 +18,9 @@
         @Nullable String apiKey,
         int promptTokens,
         int maxOutputTokens,
-        @Nullable String lastEventId) {}
+        @Nullable String lastEventId) {
+    /** Returns the time for which the client will wait; one that states none is assumed to wait for the timeout. */
+    long deadlineOr(long timeoutMillis) {
+        return deadlineMillis > 0 ? deadlineMillis : timeoutMillis;
+    }
+}
--- a/proxy/src/test/java/firwheel/proxy/balance/GroupOutageTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/GroupOutageTest.java
@@ -17,19 +17,23 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-/** Plays callers of a group that loses a rank for three seconds; refused callers return once. */
+/** Plays callers of a group that loses a rank for some seconds; refused callers return once. */
 final class GroupOutageTest {
     private static final long STEP_MILLIS = 20;
     private static final long LOST_MILLIS = 5_000;
     private static final long REFUSING_MILLIS = LOST_MILLIS + 1_500; // ranks wait for the lost one until then
-    private static final long BACK_MILLIS = LOST_MILLIS + 3_000;
-    private static final long OPEN_MILLIS = BACK_MILLIS + 600;
+    private static final long FORM_MILLIS = 600;
     private static final long END_MILLIS = 14_000;
     private static final long REPORT_MILLIS = 240;
     private static final long DEADLINE_MILLIS = 8_000;
     private static final Target RANK =
             new Target("i-0", 1, "svc", "10.0.0.1", 80, "zone-a", 8, false, new GroupMembership("g", 1, 0, true));
 
+    private static final Duration PATIENCE = Duration.ofSeconds(2);
+    private static final long LONGEST_WAIT_MILLIS = 1_800;
+
+    private WaitPolicy policy = WaitPolicy.whileForming();
+    private long backMillis = LOST_MILLIS + 3_000;
     private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
     private final GroupStates states = new GroupStates(time);
     private final HeldRequests<Caller> held = new HeldRequests<>(time, 1_000, 1_000);
@@ -47,7 +51,7 @@
             if (now % REPORT_MILLIS == 0) {
                 report(now);
             }
-            if (now < OPEN_MILLIS) {
+            if (now < openMillis()) {
                 coming.add(new Caller(now, now, false));
             }
             for (Caller caller : List.copyOf(coming)) {
@@ -66,10 +70,14 @@
         }
     }
 
+    private long openMillis() {
+        return backMillis + FORM_MILLIS;
+    }
+
     private void report(long now) {
-        boolean open = now < REFUSING_MILLIS || now >= OPEN_MILLIS;
-        int missing = now >= LOST_MILLIS && now < BACK_MILLIS ? 1 : 0;
-        states.onReport(new GroupStates.Reading("g", now >= OPEN_MILLIS ? 2 : 1, open, missing));
+        boolean open = now < REFUSING_MILLIS || now >= openMillis();
+        int missing = now >= LOST_MILLIS && now < backMillis ? 1 : 0;
+        states.onReport(new GroupStates.Reading("g", now >= openMillis() ? 2 : 1, open, missing));
     }
 
     private boolean isOpen() {
@@ -83,7 +91,7 @@
     private void onArrival(Caller caller, long now) {
         if (isOpen()) {
             (now >= LOST_MILLIS && now < REFUSING_MILLIS ? waitingAtRanks : served).add(caller);
-        } else if (!isForming() || !hold(caller, now)) {
+        } else if (!hold(caller, now)) {
             refuse(caller, now);
         }
     }
@@ -91,12 +99,16 @@
     private boolean hold(Caller caller, long now) {
         long leftMillis = caller.firstMillis() + DEADLINE_MILLIS - now;
         long nowNanos = time.monotonicNanos();
+        WaitPolicy.Situation situation =
+                new WaitPolicy.Situation(isForming(), caller.returned(), PATIENCE, Duration.ZERO);
+        Duration wait = policy.maxWait(situation);
         return held.tryAdd(new Held<>(
                 caller,
                 "svc",
-                nowNanos + Duration.ofMillis(Math.min(leftMillis, 1_800)).toNanos(),
+                nowNanos + Math.min(Duration.ofMillis(leftMillis).toNanos(), wait.toNanos()),
                 nowNanos + Duration.ofMillis(leftMillis).toNanos(),
-                1));
+                1,
+                policy.endsUnlessForming(situation)));
     }
 
     private void refuse(Caller caller, long now) {
@@ -129,8 +141,8 @@
         void areServedIfTheyReturnAfterTheRankIsKnownToBeBack() {
             play();
 
-            assertThat(lost).allMatch(caller -> caller.dueMillis() < BACK_MILLIS + REPORT_MILLIS);
-            assertThat(served).anyMatch(caller -> caller.returned() && caller.dueMillis() < OPEN_MILLIS);
+            assertThat(lost).allMatch(caller -> caller.dueMillis() < backMillis + REPORT_MILLIS);
+            assertThat(served).anyMatch(caller -> caller.returned() && caller.dueMillis() < openMillis());
         }
 
         @Test
@@ -140,4 +152,38 @@
             assertThat(isForming()).isFalse();
         }
     }
+
+    @Nested
+    final class CallersThatHaveReturned {
+        /** They have no further attempt, so nothing is lost by a wait for the rank. */
+        @Test
+        void areServedIfTheGroupOpensBeforeTheyLeave() {
+            policy = WaitPolicy.ofReturnedCallers();
+            backMillis = LOST_MILLIS + 5_500;
+            play();
+
+            assertThat(lost)
+                    .allMatch(caller -> caller.dueMillis() < openMillis() + REPORT_MILLIS - LONGEST_WAIT_MILLIS);
+            assertThat(served).anyMatch(caller -> caller.returned() && caller.dueMillis() < backMillis - REPORT_MILLIS);
+        }
+
+        @Test
+        void areNotKeptUntilTheyLeave() {
+            policy = WaitPolicy.ofReturnedCallers();
+            Duration wait = policy.maxWait(
+                    new WaitPolicy.Situation(false, true, PATIENCE, Duration.ofMillis(LONGEST_WAIT_MILLIS - 100)));
+
+            assertThat(wait).isEqualTo(Duration.ofMillis(100));
+        }
+
+        @Test
+        void areToldByTheTimeThatTheyHaveLeft() {
+            ReturnedCallers callers = new ReturnedCallers(time);
+
+            assertThat(callers.onRequest("a", DEADLINE_MILLIS)).isFalse();
+            assertThat(callers.onRequest("a", DEADLINE_MILLIS * 2 / 3)).isTrue();
+            assertThat(callers.onRequest("b", DEADLINE_MILLIS * 2 / 3)).isFalse();
+            assertThat(callers.onRequest("a", 0)).isFalse();
+        }
+    }
 }
--- a/proxy/src/test/java/firwheel/proxy/balance/HeldRequestsTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/HeldRequestsTest.java
@@ -22,7 +22,8 @@
                 "svc",
                 time.monotonicNanos() + Duration.ofMillis(untilMillis).toNanos(),
                 time.monotonicNanos() + Duration.ofMillis(deadlineMillis).toNanos(),
-                bytes));
+                bytes,
+                true));
     }
 
     private @Nullable Ended<String> next(boolean hasPlace, boolean isForming) {
