Callers that have come back after a refusal wait for a lost rank

Callers return once.

A request whose caller has come back now waits while a rank is missing, until the caller would leave before its first event. That it has come back shows in the time that it states, which is below what is usual for its route (ReturnedCallers). First requests are refused at once as before.

GroupOutageTest.CallersThatHaveReturned plays callers through 5.5 s without a rank; with the policy before they are lost.

--- a/bench/src/main/java/firwheel/bench/decisions/EmulatedEntry.java
+++ b/bench/src/main/java/firwheel/bench/decisions/EmulatedEntry.java
@@ -227,6 +227,7 @@
                     selector.timeToOpen(SERVICE) != null,
                     caller.returned(),
                     day.patience(),
+                    day.objective(),
                     Duration.ofNanos(loop.nowNanos() - arrivedNanos));
             long waitNanos = variant.waits().maxWait(situation).toNanos();
             boolean waits = waiting.tryAdd(new HeldRequests.Held<>(
--- a/proxy/src/main/java/firwheel/proxy/balance/WaitPolicy.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/WaitPolicy.java
@@ -14,14 +14,19 @@
      * @param forming whether all ranks of a group are there and it is about to open
      * @param returned whether the caller has come back after a refusal, so that another refusal would be final
      * @param patience time after its arrival until the caller leaves if it has received nothing
+     * @param objective time within which a caller expects the first event; without a queue it takes half of that
      * @param elapsed time since the request arrived
      */
-    record Situation(boolean forming, boolean returned, Duration patience, Duration elapsed) {
-        /** Returns the time left for a wait, so that the caller is still there at its end. */
+    record Situation(boolean forming, boolean returned, Duration patience, Duration objective, Duration elapsed) {
+        /** Returns the time left for a wait after which the first event still reaches the caller. */
         Duration timeLeft() {
-            Duration left = patience.multipliedBy(9).dividedBy(10).minus(elapsed);
+            Duration left = patience.minus(objective.dividedBy(2)).minus(elapsed);
             return left.isNegative() ? Duration.ZERO : left;
         }
+
+        private Situation notForming() {
+            return new Situation(false, returned, patience, objective, elapsed);
+        }
     }
 
     /** Returns the longest wait, or zero if the request is refused at once. */
@@ -29,8 +34,7 @@
 
     /** Returns whether a wait has to end if no group is forming any more. */
     default boolean endsUnlessForming(Situation situation) {
-        return maxWait(new Situation(false, situation.returned(), situation.patience(), situation.elapsed()))
-                .isZero();
+        return maxWait(situation.notForming()).isZero();
     }
 
     /** Requests wait only while a group is forming. */
--- a/proxy/src/main/java/firwheel/proxy/server/GroupWait.java
+++ b/proxy/src/main/java/firwheel/proxy/server/GroupWait.java
@@ -71,6 +71,7 @@
                 forming,
                 request.returned(),
                 request.route().patience(),
+                Duration.ofMillis(request.route().latencyObjectiveMillis()),
                 Duration.ofNanos(now - request.arrivedNanos()));
         boolean added = held.tryAdd(new Held<>(
                 waiter,
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -62,7 +62,7 @@
         this.metrics = metrics;
         this.random = random;
         crashGuard = new CrashGuard(time);
-        groupWait = new GroupWait(vertx, time, targetSelector, WaitPolicy.whileForming(), metrics);
+        groupWait = new GroupWait(vertx, time, targetSelector, WaitPolicy.ofReturnedCallers(), metrics);
         retryAfterPolicy = new RetryAfterPolicy(random);
         this.retryBudgetFactory = retryBudgetFactory;
     }
--- a/proxy/src/test/java/firwheel/proxy/balance/GroupOutageTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/GroupOutageTest.java
@@ -30,7 +30,9 @@
             new Target("i-0", 1, "svc", "10.0.0.1", 80, "zone-a", 8, false, new GroupMembership("g", 1, 0, true));
 
     private static final Duration PATIENCE = Duration.ofSeconds(2);
-    private static final long LONGEST_WAIT_MILLIS = 1_800;
+    private static final Duration OBJECTIVE = Duration.ofMillis(400);
+    private static final long LONGEST_WAIT_MILLIS =
+            PATIENCE.minus(OBJECTIVE.dividedBy(2)).toMillis();
 
     private WaitPolicy policy = WaitPolicy.whileForming();
     private long backMillis = LOST_MILLIS + 3_000;
@@ -100,7 +102,7 @@
         long leftMillis = caller.firstMillis() + DEADLINE_MILLIS - now;
         long nowNanos = time.monotonicNanos();
         WaitPolicy.Situation situation =
-                new WaitPolicy.Situation(isForming(), caller.returned(), PATIENCE, Duration.ZERO);
+                new WaitPolicy.Situation(isForming(), caller.returned(), PATIENCE, OBJECTIVE, Duration.ZERO);
         Duration wait = policy.maxWait(situation);
         return held.tryAdd(new Held<>(
                 caller,
@@ -170,8 +172,8 @@
         @Test
         void areNotKeptUntilTheyLeave() {
             policy = WaitPolicy.ofReturnedCallers();
-            Duration wait = policy.maxWait(
-                    new WaitPolicy.Situation(false, true, PATIENCE, Duration.ofMillis(LONGEST_WAIT_MILLIS - 100)));
+            Duration wait = policy.maxWait(new WaitPolicy.Situation(
+                    false, true, PATIENCE, OBJECTIVE, Duration.ofMillis(LONGEST_WAIT_MILLIS - 100)));
 
             assertThat(wait).isEqualTo(Duration.ofMillis(100));
         }
