Versions of expert maps stay below 2^53

A version was the term of the controller times a million, and a term is a position in the store: era times 2^32 plus revision. After three returns of the store from an older copy, or some 9 billion transactions, versions pass 2^53, from which on a reader of JSON with floating-point numbers takes two of them for the same: a rank could be armed for the map that was to be aborted.

A term now has 2,048 versions; a controller that has used them up campaigns for another term, and plans no map until it has won.

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -37,7 +37,6 @@
             Duration.ofMillis(50); // lets the first candidate usually win before the next one campaigns
     private static final Duration INITIAL_ELECTION_TIMEOUT =
             Duration.ofMillis(500); // a live controller discovers and reads a new agent sooner
-    private static final long VERSIONS_PER_TERM = 1_000_000; // lasts for days at two versions per second
     private static final int MAX_INCOMPLETE_READS = 8; // if calls time out, about as long as a hold may block the group
     private static final RolloutLimits ROLLOUT_LIMITS = new RolloutLimits(
             8,
@@ -59,11 +58,12 @@
     private final CallTimeouts timeouts = new CallTimeouts();
     private final ReadPace readPace = new ReadPace();
     private final MapInUse mapInUse = new MapInUse();
+    private final MapVersions versions = new MapVersions();
     private final Map<Integer, RankClient.Route> ranks = new TreeMap<>();
     private String group = "";
     private long term;
     private boolean takeoverComplete;
-    private long usedVersions;
+    private boolean renewingTerm;
     private @Nullable MapRollout rollout;
     private int incompleteReads;
     private long lastReportNanos;
@@ -159,7 +159,7 @@
         agent.observeTerm(wonTerm);
         takeoverComplete = false;
         mapInUse.forget();
-        usedVersions = 0;
+        versions.startTerm(wonTerm);
         MapPolicy policy = environment.policy().get();
         if (policy != null) {
             policy.reset();
@@ -170,7 +170,14 @@
 
     private CompletableFuture<Void> control() {
         MapRollout active = rollout;
-        return active == null ? readAndPlan() : advanceRollout(active);
+        if (active != null) {
+            return advanceRollout(active);
+        }
+        if (versions.exhausted() && !renewingTerm) {
+            renewingTerm = true;
+            var unused = campaign().whenComplete((done, error) -> renewingTerm = false);
+        }
+        return readAndPlan();
     }
 
     /** Reads all ranks and starts a rollout if one is needed. */
@@ -215,10 +222,13 @@
         if (!mapInUse.isPlacementKnown()) {
             return ReadingLog.Outcome.PLACEMENT_UNKNOWN;
         }
+        if (versions.exhausted()) {
+            return ReadingLog.Outcome.VERSIONS_USED;
+        }
         if (!takeoverComplete || views.stream().anyMatch(RankView::isHolding)) {
             takeoverComplete = false;
             rollout = MapRollout.takeOver(
-                    ROLLOUT_LIMITS, views, nextVersion(), mapInUse.placement(), time.monotonicMillis());
+                    ROLLOUT_LIMITS, views, versions.next(), mapInUse.placement(), time.monotonicMillis());
             return ReadingLog.Outcome.TAKEOVER;
         }
         return planMap(readings, views);
@@ -252,7 +262,7 @@
         if (planned == null) {
             return ReadingLog.Outcome.MAP_KEPT;
         }
-        long version = nextVersion();
+        long version = versions.next();
         Events.log(
                 logger,
                 EventCode.MAP_PLANNED,
@@ -277,14 +287,6 @@
         return ReadingLog.Outcome.MAP_PLANNED;
     }
 
-    /**
-     * Returns a version above all of earlier terms and rollouts. Each rollout uses two: one to switch, one to abort.
-     */
-    private long nextVersion() {
-        usedVersions += 2;
-        return term * VERSIONS_PER_TERM + usedVersions;
-    }
-
     /** Reads all ranks and sends the next orders of the rollout. */
     private CompletableFuture<Void> advanceRollout(MapRollout active) {
         long startedNanos = time.monotonicNanos();
--- a/rebalance/src/main/java/firwheel/rebalance/ReadingLog.java
+++ b/rebalance/src/main/java/firwheel/rebalance/ReadingLog.java
@@ -23,6 +23,8 @@
         RANKS_DISAGREE,
         /** Not all ranks stated which experts they hold. */
         PLACEMENT_UNKNOWN,
+        /** The versions of the controller's term are used up, and it has not won another term yet. */
+        VERSIONS_USED,
         /** A rollout of an earlier controller is aborted first. */
         TAKEOVER,
         /** The configuration of the group is not known. */
