Waits for a group end before the caller's deadline, also on routes without events

A returned caller with less time left than it waits for a first event would have been refused at its deadline only, and one on a route without events after up to the route's timeout. The wait now ends half an objective before the caller leaves, and on routes without events after 2 s at most, as before.

--- a/bench/src/main/java/firwheel/bench/decisions/DayEmulation.java
+++ b/bench/src/main/java/firwheel/bench/decisions/DayEmulation.java
@@ -11,6 +11,7 @@
 /** Plays a day in virtual time. The same day, variant and seed always give the same result. */
 public final class DayEmulation {
     private static final Duration CONTROLLER_GAP = Duration.ofMillis(1_200); // until another controller is elected
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(250); // of a controller
     private static final Duration REPORT_DELAY = Duration.ofMillis(30);
     private static final Duration TAIL = Duration.ofSeconds(12); // callers have left by then
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -96,7 +97,7 @@
             loop.schedule(
                     REPORT_DELAY.toNanos(), () -> entries.forEach(entry -> deliver(entry, epoch, open, requests)));
         }
-        loop.schedule(EmulatedGroup.reportInterval().toNanos(), this::report);
+        loop.schedule(REPORT_INTERVAL.toNanos(), this::report);
     }
 
     /** Delivers the report of the controller on the entry's side of a cut. */
--- a/bench/src/main/java/firwheel/bench/decisions/EmulatedEntry.java
+++ b/bench/src/main/java/firwheel/bench/decisions/EmulatedEntry.java
@@ -226,14 +226,14 @@
             WaitPolicy.Situation situation = new WaitPolicy.Situation(
                     selector.timeToOpen(SERVICE) != null,
                     caller.returned(),
-                    day.patience(),
+                    Duration.ofNanos(Math.min(day.patience().toNanos(), caller.deadlineNanos() - arrivedNanos)),
                     day.objective(),
                     Duration.ofNanos(loop.nowNanos() - arrivedNanos));
             long waitNanos = variant.waits().maxWait(situation).toNanos();
             boolean waits = waiting.tryAdd(new HeldRequests.Held<>(
                     this,
                     SERVICE,
-                    Math.min(caller.deadlineNanos(), loop.nowNanos() + waitNanos),
+                    loop.nowNanos() + waitNanos,
                     caller.deadlineNanos(),
                     0,
                     variant.waits().endsUnlessForming(situation)));
--- a/bench/src/main/java/firwheel/bench/decisions/EmulatedGroup.java
+++ b/bench/src/main/java/firwheel/bench/decisions/EmulatedGroup.java
@@ -208,9 +208,4 @@
             rank.running.forEach(EmulatedRequest::cancel);
         });
     }
-
-    /** Returns how long a controller takes to read all ranks and report them. */
-    static Duration reportInterval() {
-        return Duration.ofMillis(250);
-    }
 }
--- a/bench/src/main/java/firwheel/bench/decisions/Experiment.java
+++ b/bench/src/main/java/firwheel/bench/decisions/Experiment.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 import org.HdrHistogram.Histogram;
+import org.jspecify.annotations.Nullable;
 
 /** Runs the days, variants and seeds of an experiment, and renders tables and a plot of the results. */
 public final class Experiment {
@@ -167,7 +168,7 @@
     }
 
     /** Returns a plot of the worth over time, one panel a day, or null if no day was played. */
-    public @org.jspecify.annotations.Nullable String plot() {
+    public @Nullable String plot() {
         List<SvgPlot.Panel> panels = new ArrayList<>();
         for (EmulatedDay day : file.days()) {
             List<SvgPlot.Series> series = played.stream()
--- a/proxy/src/main/java/firwheel/proxy/server/GroupWait.java
+++ b/proxy/src/main/java/firwheel/proxy/server/GroupWait.java
@@ -34,7 +34,13 @@
      * @param deadlineNanos monotonic time at which its client leaves
      * @param bytes bytes that are kept for it
      */
-    record Request(Route route, String service, boolean returned, long arrivedNanos, long deadlineNanos, int bytes) {}
+    record Request(Route route, String service, boolean returned, long arrivedNanos, long deadlineNanos, int bytes) {
+        /** Returns the time from arrival until the client leaves if it has received nothing. */
+        private Duration patience() {
+            Duration untilDeadline = Duration.ofNanos(deadlineNanos - arrivedNanos);
+            return untilDeadline.compareTo(route.patience()) < 0 ? untilDeadline : route.patience();
+        }
+    }
 
     private final Vertx vertx;
     private final TimeSource time;
@@ -56,7 +62,7 @@
     }
 
     /** Records a request and returns whether its caller has probably come back after a refusal. */
-    boolean isReturn(Route route, long deadlineMillis) {
+    boolean onArrival(Route route, long deadlineMillis) {
         return returnedCallers.onRequest(route.name(), deadlineMillis);
     }
 
@@ -70,14 +76,13 @@
         WaitPolicy.Situation situation = new WaitPolicy.Situation(
                 forming,
                 request.returned(),
-                request.route().patience(),
+                request.patience(),
                 Duration.ofMillis(request.route().latencyObjectiveMillis()),
                 Duration.ofNanos(now - request.arrivedNanos()));
         boolean added = held.tryAdd(new Held<>(
                 waiter,
                 request.service(),
-                Math.min(
-                        request.deadlineNanos(), now + policy.maxWait(situation).toNanos()),
+                now + policy.maxWait(situation).toNanos(),
                 request.deadlineNanos(),
                 request.bytes(),
                 policy.endsUnlessForming(situation)));
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -87,7 +87,7 @@
         }
         route = matchedRoute;
         suspicion.onArrival();
-        returned = state.groupWait.isReturn(matchedRoute, metadata.deadlineMillis());
+        returned = state.groupWait.onArrival(matchedRoute, metadata.deadlineMillis());
         service = matchedRoute.selectService(state.random.getAsDouble());
         state.retryBudget(service).onRequest();
         long allowedMillis = Math.min(metadata.deadlineOr(matchedRoute.timeoutMillis()), matchedRoute.timeoutMillis());
