An entry that the store never answered states no answer of it

A process that started while the store was out told peers that the store had answered it as long ago as it had started. They take that for the time from which targets can register again, and would have removed registrations that lapsed in the outage at once when they were answered: all targets of a group for some seconds. ReaderRoleTest.NewProcess.statesNoAnswerBeforeThereWasOne.

--- a/mesh/src/main/java/firwheel/mesh/ReaderRole.java
+++ b/mesh/src/main/java/firwheel/mesh/ReaderRole.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides whether this process polls the platform's store or follows another process that does. A process that polls
@@ -63,7 +64,7 @@
     };
     private boolean reading;
     private boolean lastCallFailed;
-    private long answeredNanos;
+    private @Nullable Long answeredNanos;
     private long readNanos;
 
     /**
@@ -76,7 +77,7 @@
         this.random = random;
         this.selfIp = selfIp;
         this.limits = limits;
-        recordAnswer();
+        postponeRead();
     }
 
     /**
@@ -92,9 +93,12 @@
         return reading;
     }
 
-    /** Returns the time since the store last answered this process or one whose announcement has arrived. */
-    public Duration answerAge() {
-        return Duration.ofNanos(time.monotonicNanos() - answeredNanos);
+    /**
+     * Returns the time since the store last answered this process or one whose announcement has arrived, or null if
+     * neither has happened.
+     */
+    public @Nullable Duration answerAge() {
+        return answeredNanos == null ? null : Duration.ofNanos(time.monotonicNanos() - answeredNanos);
     }
 
     /** Returns the time until this process has to read the store if no answer is announced; zero if it reads. */
@@ -111,8 +115,9 @@
     /** Records that the store has answered this process. */
     public void onAnswer() {
         lastCallFailed = false;
+        answeredNanos = time.monotonicNanos();
         if (reading) {
-            recordAnswer();
+            postponeRead();
         }
     }
 
@@ -134,16 +139,16 @@
             return false;
         }
         announced.put(answer.ip(), answer);
-        recordAnswer();
+        answeredNanos = time.monotonicNanos();
+        postponeRead();
         if (lastCallFailed || answer.ip().compareTo(selfIp) < 0) {
             reading = false;
         }
         return true;
     }
 
-    private void recordAnswer() {
-        answeredNanos = time.monotonicNanos();
-        readNanos = answeredNanos + limits.maxAge().toNanos() + randomDelayNanos();
+    private void postponeRead() {
+        readNanos = time.monotonicNanos() + limits.maxAge().toNanos() + randomDelayNanos();
     }
 
     private long randomDelayNanos() {
--- a/mesh/src/test/java/firwheel/mesh/ReaderRoleTest.java
+++ b/mesh/src/test/java/firwheel/mesh/ReaderRoleTest.java
@@ -34,6 +34,16 @@
             assertThat(role.untilRead()).isEqualTo(limits.spread());
         }
 
+        /** Other processes take an answer for a sign that targets can register again. */
+        @Test
+        void statesNoAnswerBeforeThereWasOne() {
+            time.advance(Duration.ofSeconds(1));
+            assertThat(role.answerAge()).isNull();
+            role.onAnswer();
+
+            assertThat(role.answerAge()).isZero();
+        }
+
         @Test
         void readsInTimeIfItCannotJoin() {
             assertThat(role.untilRead()).isLessThan(BOUND);
