--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -25,6 +25,8 @@
     SUSPICION_EXPIRED(210, Severity.INFO, "A suspected request was not seen for an hour and is forgotten."),
     REQUEST_WAITS(211, Severity.INFO, "A request waits for a group of its service to open."),
     REQUEST_WAITED(212, Severity.INFO, "The wait of a request for a group has ended; the event says why."),
+    RESPONSE_LOST(
+            213, Severity.INFO, "A target will not deliver the complete response to a request; the event says why."),
     TABLE_IN_FORCE(301, Severity.INFO, "A table revision is in force on this host."),
     TABLE_REJECTED(302, Severity.ERROR, "Rows in the store fail the checks; the last good revision stays in force."),
     TABLE_OLDER(303, Severity.WARN, "An older table revision was offered and ignored."),
@@ -42,6 +44,7 @@
     TARGET_DECLINED(411, Severity.INFO, "A target refused and wants no requests from this entry for a time."),
     GROUP_STATE(412, Severity.INFO, "A model group was reported in another state, or to have lost a rank."),
     STORE_READER(413, Severity.INFO, "An entry starts or stops polling the store; the event says why."),
+    TARGET_CLAIM(414, Severity.INFO, "A target registered at the address of an earlier one, or its claim has ended."),
     LINK_REFUSED(501, Severity.WARN, "A peer failed authentication or sent a bad frame; its link was closed."),
     LINK_UP(502, Severity.INFO, "A link to a peer is up."),
     LINK_DOWN(503, Severity.INFO, "A link to a peer is down."),
--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -25,6 +25,7 @@
     private final Map<String, Target> byId = new LinkedHashMap<>();
     private final Set<Target.Key> leaving = newBoundedSet();
     private final Set<Target.Key> replaced = newBoundedSet();
+    private final AddressClaims claims = new AddressClaims();
     private Map<String, List<Target>> servingByService = Map.of();
     private final RetirementListener retirementListener;
 
@@ -33,7 +34,7 @@
         this.retirementListener = retirementListener;
     }
 
-    private static Set<Target.Key> newBoundedSet() {
+    static Set<Target.Key> newBoundedSet() {
         return Collections.newSetFromMap(new LinkedHashMap<>() {
             @Override
             protected boolean removeEldestEntry(Map.Entry<Target.Key, Boolean> eldest) {
@@ -50,11 +51,7 @@
         if (target.draining()) {
             leaving.add(target.key());
         }
-        byId.values().stream()
-                .filter(other -> isEarlierAtSameAddress(other, target))
-                .forEach(other -> {
-                    replaced.add(other.key());
-                });
+        byId.values().forEach(other -> claims.onRegistered(target, other));
         Target previous = byId.put(target.instanceId(), target);
         rebuildIndex();
         if (previous != null && (target.draining() || !previous.key().equals(target.key()))) {
@@ -62,17 +59,29 @@
         }
     }
 
+    /** Returns whether {@code target} keeps an earlier one at its address out of use, without having responded yet. */
+    public boolean hasUnconfirmedClaim(Target target) {
+        return claims.isUnconfirmed(target.key());
+    }
+
+    /** Records that {@code target} has responded, so that an earlier process at its address has ended. */
+    public void onPresent(Target target) {
+        if (claims.isUnconfirmed(target.key())) {
+            replaced.addAll(claims.end(target.key()));
+        }
+    }
+
     /**
-     * Returns whether {@code other} has ended because {@code target} started later at its address; its registration
-     * lapses seconds later. Start times are those of one host, whose clock may have been set back, in which case both
-     * stay in use.
+     * Ends the claim of {@code target} to its address, because another process responds there or because the earlier
+     * one is still registered; returns the targets that are in use again.
      */
-    private static boolean isEarlierAtSameAddress(Target other, Target target) {
-        return other.port() == target.port()
-                && other.ip().equals(target.ip())
-                && !other.instanceId().equals(target.instanceId())
-                && other.startedMillis() > 0
-                && other.startedMillis() < target.startedMillis();
+    public Set<Target.Key> onClaimRefuted(Target target) {
+        if (!claims.isUnconfirmed(target.key())) {
+            return Set.of();
+        }
+        Set<Target.Key> reinstated = claims.end(target.key());
+        rebuildIndex();
+        return reinstated;
     }
 
     /** Removes a target; unknown identifiers are ignored. */
@@ -107,7 +116,11 @@
 
     /** Returns whether a registered target accepts new requests. */
     private boolean accepts(Target target) {
-        return !target.draining() && !leaving.contains(target.key()) && !replaced.contains(target.key());
+        return !target.draining() && !leaving.contains(target.key()) && !isDisplaced(target);
+    }
+
+    private boolean isDisplaced(Target target) {
+        return replaced.contains(target.key()) || claims.isDisplaced(target.key());
     }
 
     /** Returns the targets of a service that accept new requests. */
@@ -123,7 +136,7 @@
     /** Returns the target at an address, or null. */
     public @Nullable Target findByAddress(String ip, int port) {
         for (Target target : byId.values()) {
-            if (target.port() == port && target.ip().equals(ip) && !replaced.contains(target.key())) {
+            if (target.port() == port && target.ip().equals(ip) && !isDisplaced(target)) {
                 return target;
             }
         }
--- a/proxy/src/test/java/firwheel/proxy/targets/TargetDirectoryTest.java
+++ b/proxy/src/test/java/firwheel/proxy/targets/TargetDirectoryTest.java
@@ -46,6 +46,40 @@
             assertThat(directory.findByAddress("10.0.0.9", 80)).isEqualTo(startedAt("i-2", 8));
         }
 
+        /** The number alone may have been written by anyone. */
+        @Test
+        void doesNotDisplaceATargetOfAnotherServiceOrRank() {
+            GroupMembership rank = new GroupMembership("g", 1, 2, true);
+            directory.put(new Target("i-1", 7, "svc", "10.0.0.9", 80, "zone-a", 8, false, rank));
+            directory.put(new Target("i-2", 8, "other", "10.0.0.9", 80, "zone-a", 8, false, null));
+            GroupMembership otherRank = new GroupMembership("g", 1, 3, true);
+            directory.put(new Target("i-3", 9, "svc", "10.0.0.9", 80, "zone-a", 8, false, otherRank));
+            directory.put(new Target("i-4", 10, "svc", "10.0.0.9", 80, "zone-a", 8, true, rank));
+
+            assertThat(directory.serving("svc")).extracting(Target::instanceId).contains("i-1");
+        }
+
+        @Test
+        void isNotUsedInItsPlaceIfAnotherProcessRespondsThere() {
+            directory.put(startedAt("i-1", 7));
+            directory.put(startedAt("i-2", 8));
+
+            assertThat(directory.onClaimRefuted(startedAt("i-2", 8)))
+                    .containsExactly(startedAt("i-1", 7).key());
+            directory.put(startedAt("i-2", 8));
+            assertThat(directory.serving("svc")).extracting(Target::instanceId).contains("i-1");
+        }
+
+        @Test
+        void displacesItForGoodOnceItHasResponded() {
+            directory.put(startedAt("i-1", 7));
+            directory.put(startedAt("i-2", 8));
+            directory.onPresent(startedAt("i-2", 8));
+
+            assertThat(directory.onClaimRefuted(startedAt("i-2", 8))).isEmpty();
+            assertThat(directory.serving("svc")).extracting(Target::instanceId).containsExactly("i-2");
+        }
+
         @Test
         void doesNotDisplaceItIfTheClockWasSetBack() {
             directory.put(startedAt("i-1", 7));
