A rejection counts only for a request that it can only belong to

Callers, as reported by other operators: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that a worker ran. It happens here: a response without an attempt identifier counted as the response to the latest request, also on a connection that had carried earlier ones, and a stream that must not run twice was sent on kept connections.

A response without identifier now belongs to a request only if that was the first on its connection; with another identifier, as before, to none. A request that must not run twice always gets a connection of its own. An attempt is not sent again on a connection on which it was rejected, so that a repeated rejection does not bear its identifier.

The product's own interface: an agent resets the connection after each rejection of its engine, so a kept one has carried none (AttemptExecution.refuse); read, not tested.

--- a/proxy/src/main/java/firwheel/proxy/server/ProxyProtocol.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyProtocol.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.Set;
 
 /** HTTP header conventions of clients and targets, implemented by each platform's adapter. */
 public interface ProxyProtocol {
@@ -12,6 +13,9 @@
     /** Returns the headers of the request to a target. */
     MultiMap targetRequestHeaders(HttpServerRequest request, ForwardingMetadata forwarding);
 
+    /** Returns the names of further fields that events of a stream may have, in lower case. */
+    Set<String> eventFields();
+
     /** Reads the head of a target's response. */
     ResponseHead readResponseHead(HttpClientResponse response);
 }
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -165,14 +165,15 @@
             }
             return;
         }
-        boolean newConnection = matchedRoute.kind() == RequestKind.AT_MOST_ONCE;
-        var unused = state.connections.acquire(target, newConnection).onComplete(result -> {
-            if (result.failed()) {
-                onConnectFailed(matchedRoute, target, result.cause());
-            } else {
-                onConnected(matchedRoute, result.result());
-            }
-        });
+        var unused = state.connections
+                .acquire(target, metadata.attemptId(), !matchedRoute.retryable())
+                .onComplete(result -> {
+                    if (result.failed()) {
+                        onConnectFailed(matchedRoute, target, result.cause());
+                    } else {
+                        onConnected(matchedRoute, result.result());
+                    }
+                });
     }
 
     private void failWithoutTarget() {
--- a/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ResponseHead.java
@@ -17,6 +17,7 @@
  * @param requestLimit requests per second that the target states to take from all entries together; negative if it
  *     states none
  * @param retryAfter time for which the target states to want no requests from this entry, or null
+ * @param eventStream whether the body is a stream of events
  * @param contentEncoded whether the body has a content encoding, which no client requested
  * @param keepAliveMillis time for which the target keeps an idle connection open, or 0 if not stated
  * @param closesConnection whether the target closes the connection after the response
@@ -32,6 +33,7 @@
         boolean leaving,
         double requestLimit,
         @Nullable Duration retryAfter,
+        boolean eventStream,
         boolean contentEncoded,
         long keepAliveMillis,
         boolean closesConnection,
--- a/proxy/src/main/java/firwheel/proxy/server/TargetConnectionPool.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetConnectionPool.java
@@ -15,8 +15,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,10 +31,18 @@
     private static final Duration DEFAULT_IDLE_TIMEOUT =
             Duration.ofMillis(400); // a target that states no keep-alive time may close after a second
     private static final double KEEP_ALIVE_SHARE = 0.6; // leaves time for a request in transit
+    private static final int MAX_REJECTED_PER_CONNECTION = 32; // bounds the memory of a connection
     private static final int MAX_IDLE_PER_TARGET = 8; // about as many requests as a target processes concurrently
 
-    /** A connection leased to one request. */
-    record Lease(Target target, HttpClientConnection connection, boolean reused) {}
+    /**
+     * A connection leased to one request.
+     *
+     * @param target target at the other end
+     * @param connection the connection
+     * @param reused whether it has carried earlier requests
+     * @param rejectedIds attempts that the target has rejected on it
+     */
+    record Lease(Target target, HttpClientConnection connection, boolean reused, Set<String> rejectedIds) {}
 
     /** Outcome of a new connection to a target. */
     enum Reachability {
@@ -41,7 +51,7 @@
         UNKNOWN
     }
 
-    private record IdleConnection(HttpClientConnection connection, long expiresNanos) {}
+    private record IdleConnection(HttpClientConnection connection, Set<String> rejectedIds, long expiresNanos) {}
 
     private final HttpClientAgent client;
     private final TimeSource time;
@@ -65,23 +75,27 @@
         return openedCount;
     }
 
-    /** Leases a connection to the target; opens a new one if {@code forceNew} is set or none is idle. */
-    Future<Lease> acquire(Target target, boolean forceNew) {
-        IdleConnection idleConnection = forceNew ? null : takeIdle(target);
+    /**
+     * Leases a connection to the target; opens a new one if {@code forceNew} is set or none is idle. A target that has
+     * rejected the attempt before may repeat that response, so the connection is another one.
+     */
+    Future<Lease> acquire(Target target, @Nullable String attemptId, boolean forceNew) {
+        IdleConnection idleConnection = forceNew ? null : takeIdle(target, attemptId);
         if (idleConnection != null) {
-            return Future.succeededFuture(new Lease(target, idleConnection.connection(), true));
+            return Future.succeededFuture(
+                    new Lease(target, idleConnection.connection(), true, idleConnection.rejectedIds()));
         }
         openedCount++;
         HttpConnectOptions options = new HttpConnectOptions()
                 .setHost(target.ip())
                 .setPort(target.port())
                 .setConnectTimeout(CONNECT_TIMEOUT.toMillis());
-        return client.connect(options).map(connection -> new Lease(target, connection, false));
+        return client.connect(options).map(connection -> new Lease(target, connection, false, new HashSet<>()));
     }
 
     /** Returns whether the target still listens, by a new connection that is closed at once. */
     Future<Reachability> probe(Target target) {
-        return acquire(target, true).transform(result -> {
+        return acquire(target, null, true).transform(result -> {
             if (result.succeeded()) {
                 close(result.result().connection());
                 return Future.succeededFuture(Reachability.LISTENING);
@@ -95,19 +109,28 @@
         return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
 
-    /** Returns a connection to the pool after its response has ended normally. */
-    void release(Lease lease, ResponseHead head) {
+    /**
+     * Returns a connection to the pool after its response has ended normally.
+     *
+     * @param rejectedId attempt that the response rejects, or null if it was executed
+     */
+    void release(Lease lease, ResponseHead head, @Nullable String rejectedId) {
+        if (rejectedId != null) {
+            lease.rejectedIds().add(rejectedId);
+        }
         long idleMillis = head.keepAliveMillis() == 0
                 ? DEFAULT_IDLE_TIMEOUT.toMillis()
                 : (long) (head.keepAliveMillis() * KEEP_ALIVE_SHARE);
         Deque<IdleConnection> targetConnections =
                 idleConnections.computeIfAbsent(lease.target().key(), key -> new ArrayDeque<>());
-        if (head.closesConnection() || targetConnections.size() >= MAX_IDLE_PER_TARGET) {
+        if (head.closesConnection()
+                || targetConnections.size() >= MAX_IDLE_PER_TARGET
+                || lease.rejectedIds().size() > MAX_REJECTED_PER_CONNECTION) {
             close(lease.connection());
             return;
         }
-        IdleConnection idleConnection =
-                new IdleConnection(lease.connection(), time.monotonicNanos() + idleMillis * 1_000_000L);
+        IdleConnection idleConnection = new IdleConnection(
+                lease.connection(), lease.rejectedIds(), time.monotonicNanos() + idleMillis * 1_000_000L);
         lease.connection().closeHandler(ignored -> targetConnections.remove(idleConnection));
         targetConnections.push(idleConnection);
     }
@@ -134,12 +157,13 @@
         }
     }
 
-    private @Nullable IdleConnection takeIdle(Target target) {
+    private @Nullable IdleConnection takeIdle(Target target, @Nullable String attemptId) {
         Deque<IdleConnection> targetConnections = idleConnections.get(target.key());
         long now = time.monotonicNanos();
         while (targetConnections != null && !targetConnections.isEmpty()) {
             IdleConnection idleConnection = targetConnections.pop();
-            if (idleConnection.expiresNanos() > now) {
+            boolean repeated = attemptId != null && idleConnection.rejectedIds().contains(attemptId);
+            if (idleConnection.expiresNanos() > now && !repeated) {
                 idleConnection.connection().closeHandler(null);
                 return idleConnection;
             }
--- a/proxy/src/main/java/firwheel/proxy/server/TargetExchange.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetExchange.java
@@ -6,7 +6,6 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
-import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -101,7 +100,7 @@
 
     private void onResponse(HttpClientResponse received) {
         ResponseHead responseHead = protocol.readResponseHead(received);
-        if (responseHead.attemptId() != null && !Objects.equals(responseHead.attemptId(), attemptId)) {
+        if (!belongsToRequest(responseHead.attemptId())) {
             fail("response to attempt " + responseHead.attemptId() + " instead of " + attemptId);
             return;
         }
@@ -117,6 +116,11 @@
         listener.onHead(responseHead);
     }
 
+    /** Without an identifier, a response on a connection with earlier requests may be one to those. */
+    private boolean belongsToRequest(@Nullable String respondedId) {
+        return respondedId == null ? !lease.reused() : respondedId.equals(attemptId);
+    }
+
     private void complete(ResponseHead responseHead) {
         if (done) {
             return;
@@ -127,7 +131,7 @@
         if (respondedEarly || responseHead.attemptId() == null) {
             TargetConnectionPool.close(lease.connection());
         } else {
-            connections.release(lease, responseHead);
+            connections.release(lease, responseHead, responseHead.notExecuted() ? attemptId : null);
         }
         listener.onEnd();
     }
