A stream goes on only with events that continue it

Callers, as reported by other operators: a stream broke off, the next worker answered with an error, and clients found its text or head in their stream, or the stream ended as if complete. Errors by status held.

Now an event consists of known fields and has an identifier above all earlier ones of the response (EventSequence), a stream is one by its content type, and a resumed response without an event does not end it. Otherwise the response is lost: the request goes to another target if it may, or the client's connection is aborted.

The product's own interface resumes a stream from the records of the same agent, never by another response, and ends it only after the terminating event and a matching checksum; read, not tested.

--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -244,7 +244,8 @@
             return;
         }
         triedTargets.add(lease.target().key());
-        TargetAttempt attempt = new TargetAttempt(state, matchedRoute, lease, metadata.attemptId(), executions, this);
+        TargetAttempt attempt =
+                new TargetAttempt(state, matchedRoute, lease, metadata.attemptId(), lastEventId, executions, this);
         currentAttempt = attempt;
         long remainingMillis = Math.max(1, (deadlineNanos - state.time.monotonicNanos()) / NANOS_PER_MILLI);
         String organisationName = organisation == null ? null : organisation.name();
@@ -402,6 +403,10 @@
             forwardResponse(attempt.target(), head, Buffer.buffer());
             return;
         }
+        if (!attempt.hasSentEvent()) {
+            onResponseLost(attempt, "target " + attempt.target().instanceId() + " resumed the stream with no event");
+            return;
+        }
         suspicion.onAnswered();
         finish("complete");
         log.completed(service, attempt.target(), HTTP_OK, timing);
@@ -410,6 +415,13 @@
 
     @Override
     public void onResponse(TargetAttempt attempt, ResponseHead head, Buffer responseBody) {
+        if (clientResponse.started()) {
+            onResponseLost(
+                    attempt,
+                    "target " + attempt.target().instanceId() + " resumed the stream with status " + head.status()
+                            + " and no event stream");
+            return;
+        }
         forwardResponse(attempt.target(), head, responseBody);
     }
 
@@ -443,6 +455,7 @@
 
     @Override
     public void onResponseLost(TargetAttempt attempt, String reason) {
+        log.responseLost(attempt.target(), reason);
         var probe = suspicion.connectionLost() ? state.probe(attempt.target()) : null;
         if (probe != null && suspicion.isSuspected() && mayRetry()) {
             // Whether the target has ended decides whether another one may get the request.
--- a/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
@@ -56,6 +56,10 @@
         write(EventCode.REQUEST_REPEATED, "reason", reason, "target", target == null ? "none" : target.instanceId());
     }
 
+    void responseLost(Target target, String reason) {
+        write(EventCode.RESPONSE_LOST, "target", target.instanceId(), "reason", reason);
+    }
+
     void failed(ResultCode code, String detail) {
         write(EventCode.REQUEST_FAILED, "code", code.label(), "detail", detail);
     }
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -2,6 +2,7 @@
 
 import firwheel.model.EventCode;
 import firwheel.model.Events;
+import firwheel.proxy.attempt.EventSequence;
 import firwheel.proxy.attempt.EventSplitter;
 import firwheel.proxy.attempt.ExecutionTracker;
 import firwheel.proxy.balance.TargetLoad;
@@ -64,6 +65,7 @@
     private final TargetLoad load;
     private final TargetExchange exchange;
     private final EventSplitter splitter = new EventSplitter();
+    private final EventSequence sequence;
     private final Buffer responseBody = Buffer.buffer();
     private @Nullable ResponseHead head;
     private long sentNanos;
@@ -76,6 +78,7 @@
             Route route,
             TargetConnectionPool.Lease lease,
             @Nullable String attemptId,
+            @Nullable String lastEventId,
             ExecutionTracker executions,
             Listener listener) {
         this.state = state;
@@ -84,6 +87,7 @@
         this.executions = executions;
         this.listener = listener;
         load = state.targetSelector.load(target);
+        sequence = new EventSequence(state.protocol.eventFields(), lastEventId);
         exchange = new TargetExchange(state.connections, lease, state.protocol, attemptId, this);
     }
 
@@ -111,6 +115,11 @@
         }
     }
 
+    /** Returns whether the target has sent an event that continues the stream. */
+    boolean hasSentEvent() {
+        return eventSeen;
+    }
+
     /** Returns whether neither a complete response nor a failure has been reported. */
     boolean isPending() {
         return !ended;
@@ -131,9 +140,14 @@
         if (received.leaving()) {
             state.onTargetLeaving(target);
         }
-        if (!received.wrongInstance()) {
+        if (received.wrongInstance()) {
+            state.onWrongInstance(target);
+        } else {
             state.onTargetLimit(target, received.requestLimit());
         }
+        if (received.signed()) {
+            state.onTargetPresent(target);
+        }
         Duration retryAfter = received.retryAfter();
         if (retryAfter != null && load.onDeclined(state.time.monotonicNanos(), retryAfter)) {
             Events.log(
@@ -221,7 +235,10 @@
     }
 
     private boolean isStream(ResponseHead responseHead) {
-        return route.kind() == RequestKind.STREAM && isAuthentic(responseHead) && responseHead.success();
+        return route.kind() == RequestKind.STREAM
+                && isAuthentic(responseHead)
+                && responseHead.success()
+                && responseHead.eventStream();
     }
 
     private static boolean isAuthentic(ResponseHead responseHead) {
@@ -244,6 +261,14 @@
         if (ended) {
             return;
         }
+        String violation = sequence.tryAdd(event);
+        if (violation != null) {
+            exchange.cancel();
+            end();
+            load.onFailure(state.time.monotonicNanos());
+            listener.onResponseLost(this, "target " + target.instanceId() + ": " + violation);
+            return;
+        }
         startStallTimer();
         if (!eventSeen) {
             eventSeen = true;
