--- a/experts/src/main/java/firwheel/experts/plan/LayerPlacement.java
+++ b/experts/src/main/java/firwheel/experts/plan/LayerPlacement.java
@@ -2,9 +2,7 @@
 
 import firwheel.experts.ExpertMap;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.List;
-import java.util.stream.IntStream;
 
 /**
  * Mutable placement of one layer with the predicted time of each rank. The load of an expert is divided evenly among
@@ -22,6 +20,8 @@
 
     private final int[][] slots;
     private final int[] copies;
+    private final boolean[][] held;
+    private final double[] shareWithMargin;
     private final double[] seconds;
     private final double[] errorMargin;
     private final double relativeError;
@@ -48,6 +48,8 @@
         this.relativeError = relativeError;
         this.slots = slots;
         this.copies = new int[tokensPerStep.length];
+        this.held = new boolean[slots.length][tokensPerStep.length];
+        this.shareWithMargin = new double[tokensPerStep.length];
         this.expertSeconds = Arrays.stream(tokensPerStep)
                 .map(tokens -> tokens * secondsPerToken)
                 .toArray();
@@ -57,6 +59,9 @@
         this.errorMargin = new double[slots.length];
         for (int rank = 0; rank < slots.length; rank++) {
             isServing[rank] = ranks.get(rank).isServing();
+            for (int expert : slots[rank]) {
+                markHeld(rank, expert);
+            }
         }
         recompute();
         double mean = meanSeconds();
@@ -104,7 +109,7 @@
 
     /** Returns the time of one copy of {@code expert} plus its error margin, in seconds per step. */
     double shareWithMargin(int expert) {
-        return expert == ExpertMap.EMPTY ? 0 : shareWithMargin(expert, copies[expert]);
+        return expert == ExpertMap.EMPTY ? 0 : shareWithMargin[expert];
     }
 
     private double share(int expert) {
@@ -116,23 +121,29 @@
     }
 
     boolean holds(int rank, int expert) {
-        for (int held : slots[rank]) {
-            if (held == expert) {
-                return true;
-            }
-        }
-        return false;
+        return held[rank][expert];
     }
 
     /** Returns up to {@code limit} of the slowest serving ranks, slowest first. */
     int[] slowestRanks(int limit) {
-        return IntStream.range(0, seconds.length)
-                .filter(rank -> isServing[rank])
-                .boxed()
-                .sorted(Comparator.comparingDouble(rank -> -secondsWithMargin(rank)))
-                .limit(limit)
-                .mapToInt(rank -> rank)
-                .toArray();
+        int[] slowest = new int[limit];
+        int found = 0;
+        for (int rank = 0; rank < seconds.length; rank++) {
+            if (!isServing[rank]) {
+                continue;
+            }
+            int position = found;
+            while (position > 0 && secondsWithMargin(rank) > secondsWithMargin(slowest[position - 1])) {
+                position--;
+            }
+            if (position < limit) {
+                int kept = Math.min(found, limit - 1);
+                System.arraycopy(slowest, position, slowest, position + 1, kept - position);
+                slowest[position] = rank;
+                found = kept + 1;
+            }
+        }
+        return Arrays.copyOf(slowest, found);
     }
 
     /** Returns the time of the slowest serving rank minus the mean over serving ranks, in seconds per step. */
@@ -194,10 +205,19 @@
     }
 
     void set(int rank, int slot, int expert) {
+        int occupant = slots[rank][slot];
         slots[rank][slot] = expert;
+        markHeld(rank, occupant);
+        markHeld(rank, expert);
         recompute();
     }
 
+    private void markHeld(int rank, int expert) {
+        if (expert != ExpertMap.EMPTY) {
+            held[rank][expert] = Arrays.stream(slots[rank]).anyMatch(holds -> holds == expert);
+        }
+    }
+
     private void recompute() {
         Arrays.fill(copies, 0);
         for (int rank = 0; rank < slots.length; rank++) {
@@ -207,6 +227,9 @@
                 }
             }
         }
+        for (int expert = 0; expert < copies.length; expert++) {
+            shareWithMargin[expert] = shareWithMargin(expert, copies[expert]);
+        }
         for (int rank = 0; rank < slots.length; rank++) {
             double sum = 0;
             double squares = 0;
--- a/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
+++ b/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
@@ -15,6 +15,7 @@
 final class LayerSearch {
     private static final double MIN_RELATIVE_REDUCTION = 1e-3;
     private static final int MAX_HOT_RANKS = 4;
+    private static final int LOADS_PER_SWAP = 2;
 
     private final LayerPlacement placement;
     private final int layer;
@@ -43,48 +44,67 @@
         Candidate best = null;
         for (int slot = 0; slot < placement.slotCount(hotRank); slot++) {
             if (placement.expert(hotRank, slot) != ExpertMap.EMPTY) {
-                best = better(best, bestFor(hotRank, slot));
+                best = bestFor(hotRank, slot, best);
             }
         }
         return best;
     }
 
-    private @Nullable Candidate bestFor(int hotRank, int hotSlot) {
+    /** Returns the best move of the expert in a slot, or {@code best} if none is better. */
+    private @Nullable Candidate bestFor(int hotRank, int hotSlot, @Nullable Candidate best) {
         int expert = placement.expert(hotRank, hotSlot);
-        Candidate best = null;
+        Candidate found = best;
         for (int rank = 0; rank < placement.ranks(); rank++) {
             boolean atLoadLimit = loads[rank] >= maxLoadsPerRank;
             if (rank == hotRank || atLoadLimit || !placement.isServing(rank) || placement.holds(rank, expert)) {
                 continue;
             }
             for (int slot = 0; slot < placement.slotCount(rank); slot++) {
-                best = better(best, evaluate(hotRank, hotSlot, rank, slot));
+                found = better(found, hotRank, hotSlot, rank, slot);
             }
         }
-        return best;
+        return found;
     }
 
-    private @Nullable Candidate evaluate(int hotRank, int hotSlot, int rank, int slot) {
+    /** Returns the better of the moves to a slot, or {@code best} if none is better. */
+    private @Nullable Candidate better(@Nullable Candidate best, int hotRank, int hotSlot, int rank, int slot) {
         int occupant = placement.expert(rank, slot);
         boolean replaceable = occupant == ExpertMap.EMPTY || placement.copies(occupant) > 1;
-        Candidate copy = replaceable ? evaluateCopy(hotRank, hotSlot, rank, slot) : null;
+        Candidate found = best;
+        if (replaceable) {
+            double required = requiredReduction(hotRank, found, false);
+            double reduction = copyReduction(hotRank, hotSlot, rank, slot, required);
+            found = reduction > required ? new Candidate(hotRank, hotSlot, rank, slot, false, reduction) : found;
+        }
         boolean swappable =
-                occupant != ExpertMap.EMPTY && !placement.holds(hotRank, occupant) && loads[hotRank] < maxLoadsPerRank;
-        return swappable ? better(copy, evaluateSwap(hotRank, hotSlot, rank, slot)) : copy;
+                occupant != ExpertMap.EMPTY && loads[hotRank] < maxLoadsPerRank && !placement.holds(hotRank, occupant);
+        if (swappable) {
+            double reduction = swapReduction(hotRank, hotSlot, rank, slot);
+            found = reduction > requiredReduction(hotRank, found, true)
+                    ? new Candidate(hotRank, hotSlot, rank, slot, true, reduction / LOADS_PER_SWAP)
+                    : found;
+        }
+        return found;
+    }
+
+    /** Returns the reduction above which a move is better than {@code best}. */
+    private double requiredReduction(int hotRank, @Nullable Candidate best, boolean swap) {
+        double required = MIN_RELATIVE_REDUCTION * placement.secondsWithMargin(hotRank);
+        return best == null ? required : Math.max(required, best.reductionPerLoad * (swap ? LOADS_PER_SWAP : 1));
     }
 
-    private @Nullable Candidate evaluateCopy(int hotRank, int hotSlot, int rank, int slot) {
+    /** Returns the reduction by a copy, or an upper bound of it that is not above {@code required}. */
+    private double copyReduction(int hotRank, int hotSlot, int rank, int slot, double required) {
         int expert = placement.expert(hotRank, hotSlot);
         int occupant = placement.expert(rank, slot);
-        int copiesAfter = placement.copies(expert) + 1;
-        double newShare = placement.shareWithMargin(expert, copiesAfter);
-        double hotAfter = placement.secondsWithMargin(hotRank)
-                - placement.slowdown(hotRank) * (placement.shareWithMargin(expert) - newShare);
+        double newShare = placement.shareWithMargin(expert, placement.copies(expert) + 1);
+        double hotBefore = placement.secondsWithMargin(hotRank);
+        double hotAfter = hotBefore - placement.slowdown(hotRank) * (placement.shareWithMargin(expert) - newShare);
         double rankAfter = placement.secondsWithMargin(rank)
                 + placement.slowdown(rank) * (newShare - placement.shareWithMargin(occupant));
         double slowestSeconds = Math.max(hotAfter, rankAfter);
-        if (slowestSeconds >= placement.secondsWithMargin(hotRank) || occupant == ExpertMap.EMPTY) {
-            return candidate(hotRank, hotSlot, rank, slot, false, slowestSeconds);
+        if (hotBefore - slowestSeconds <= required || occupant == ExpertMap.EMPTY) {
+            return hotBefore - slowestSeconds;
         }
         double addedShare = placement.shareWithMargin(occupant, placement.copies(occupant) - 1)
                 - placement.shareWithMargin(occupant);
@@ -94,24 +114,15 @@
                 slowestSeconds = Math.max(slowestSeconds, before + placement.slowdown(holder) * addedShare);
             }
         }
-        return candidate(hotRank, hotSlot, rank, slot, false, slowestSeconds);
+        return hotBefore - slowestSeconds;
     }
 
-    private @Nullable Candidate evaluateSwap(int hotRank, int hotSlot, int rank, int slot) {
+    private double swapReduction(int hotRank, int hotSlot, int rank, int slot) {
         double outgoing = placement.shareWithMargin(placement.expert(hotRank, hotSlot));
         double incoming = placement.shareWithMargin(placement.expert(rank, slot));
         double hotAfter = placement.secondsWithMargin(hotRank) - placement.slowdown(hotRank) * (outgoing - incoming);
         double rankAfter = placement.secondsWithMargin(rank) + placement.slowdown(rank) * (outgoing - incoming);
-        return candidate(hotRank, hotSlot, rank, slot, true, Math.max(hotAfter, rankAfter));
-    }
-
-    private @Nullable Candidate candidate(
-            int hotRank, int hotSlot, int rank, int slot, boolean swap, double slowestAfterMove) {
-        double reduction = placement.secondsWithMargin(hotRank) - slowestAfterMove;
-        if (reduction <= MIN_RELATIVE_REDUCTION * placement.secondsWithMargin(hotRank)) {
-            return null;
-        }
-        return new Candidate(hotRank, hotSlot, rank, slot, swap, reduction / (swap ? 2 : 1));
+        return placement.secondsWithMargin(hotRank) - Math.max(hotAfter, rankAfter);
     }
 
     private List<ExpertMove> apply(Candidate chosen) {
@@ -130,13 +141,6 @@
         return moves;
     }
 
-    private static @Nullable Candidate better(@Nullable Candidate first, @Nullable Candidate second) {
-        if (first == null || second == null) {
-            return first == null ? second : first;
-        }
-        return second.reductionPerLoad > first.reductionPerLoad ? second : first;
-    }
-
     /** A possible move and how much it shortens the time of the hot rank per expert loaded, in seconds per step. */
     private record Candidate(int hotRank, int hotSlot, int rank, int slot, boolean swap, double reductionPerLoad) {}
 }
