A switch to a new map reads the whole group once, not at each of its steps

Between the order to hold a step and its release the controller read all 63 ranks four times, although in three of these phases only the hold rank decides what follows; and the lead of the held step was four times the duration of a regular reading, which carries the expert selections of 16 ranks and so takes longer than the calls of a switch. Now only the hold rank is read in these phases (decidingRank), the whole group at least every 250 ms so that agents hear of their controller, and the lead is three times the duration of a reading without selections, measured while experts are loaded.

Safety is unchanged: what commits, arming the hold rank, follows a reading of all ranks; an abort begins with one.

--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -16,7 +16,8 @@
  * several controllers.
  *
  * <p>Each call of {@link #nextOrders} takes rank views that were read after the earlier orders were answered or timed
- * out, and returns the orders to send. Orders may be lost, duplicated or delayed. A delayed order to arm a rank is
+ * out, and returns the orders to send. While only the hold rank decides what follows, the views of the others may be
+ * older ones, so that a switch does not wait for readings of the whole group. Orders may be lost, duplicated or delayed. A delayed order to arm a rank is
  * invalidated by preparing a newer version there: engines arm only the version that they prepared last, and prepare
  * each version once.
  */
@@ -38,7 +39,7 @@
     private static final int[][][] NO_PLACEMENT = {};
     private static final long PREPARE_RETRY_MILLIS = 300; // longer than an engine takes to report a loaded version
 
-    private final RolloutLimits limits;
+    private RolloutLimits limits;
     private final int[][][] newPlacement;
     private final int[][][] currentPlacement;
     private final long epoch;
@@ -137,6 +138,20 @@
                 || phase == Phase.ABORTING;
     }
 
+    /**
+     * Returns the only rank whose view must be read before the next orders, or {@link RankView#NONE} if all ranks must
+     * be.
+     */
+    public int decidingRank() {
+        boolean holdRankDecides = phase == Phase.HOLDING || phase == Phase.COMMITTING || phase == Phase.RELEASING;
+        return holdRankDecides ? holdRank : (int) RankView.NONE;
+    }
+
+    /** Replaces the limits, whose lead time follows the measured time of calls. */
+    public void setLimits(RolloutLimits newLimits) {
+        limits = newLimits;
+    }
+
     /** Returns the version being rolled out. */
     public long version() {
         return version;
@@ -170,6 +185,13 @@
                 return List.of();
             }
         }
+        boolean holdRankDecided = decidingRank() != RankView.NONE;
+        List<RankOrder> orders = nextOrdersOfPhase(views, nowMillis);
+        // To abort, the state of all ranks must be known.
+        return holdRankDecided && phase == Phase.ABORTING ? List.of() : orders;
+    }
+
+    private List<RankOrder> nextOrdersOfPhase(List<RankView> views, long nowMillis) {
         return switch (phase) {
             case PREPARING -> prepare(views, nowMillis);
             case HOLDING -> hold(views, nowMillis);
--- a/experts/src/main/java/firwheel/experts/rollout/RolloutLimits.java
+++ b/experts/src/main/java/firwheel/experts/rollout/RolloutLimits.java
@@ -14,7 +14,7 @@
  */
 public record RolloutLimits(
         long maxLeadSteps, Duration leadTime, Duration prepareLimit, Duration holdLimit, Duration armLimit) {
-    private static final int EXCHANGES_PER_SWITCH = 4; // read the hold, arm, read the armed ranks, arm the hold rank
+    private static final int EXCHANGES_PER_SWITCH = 3; // arm, read the armed ranks; one for the calls of the hold rank
     private static final long MIN_LEAD_STEPS = 2; // the step after the last started one may begin at any moment
 
     public RolloutLimits {
--- a/rebalance/src/main/java/firwheel/rebalance/GroupReader.java
+++ b/rebalance/src/main/java/firwheel/rebalance/GroupReader.java
@@ -35,16 +35,15 @@
      * @param placed whether to read which experts the ranks hold
      */
     CompletableFuture<List<RankClient.Answer>> readAll(long term, List<String> agentIps, boolean placed) {
-        long startedNanos = time.monotonicNanos();
-        timeouts.onReadingStarted();
         List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
         Set<String> sampled = selectionSampling.next(agentIps);
         for (String ip : agentIps) {
             RankCall.Read read = new RankCall.Read(term, sampled.contains(ip), placed);
-            calls.add(measured(client.readAgent(ip, read, CallTimeouts.REGULAR), startedNanos));
+            calls.add(client.readAgent(ip, read, CallTimeouts.REGULAR));
         }
-        calls.add(client.readLocal(new RankCall.Read(term, true, placed)));
-        return allOf(calls).thenCompose(answers -> withUnreadEngines(term, answers));
+        List<CompletableFuture<RankClient.Answer>> measuredCalls = measured(calls);
+        measuredCalls.add(client.readLocal(new RankCall.Read(term, true, placed)));
+        return allOf(measuredCalls).thenCompose(answers -> withUnreadEngines(term, answers));
     }
 
     /**
@@ -54,14 +53,21 @@
      */
     CompletableFuture<List<RankClient.Answer>> readDuringRollout(
             long term, Collection<RankClient.Route> ranks, MapRollout rollout, boolean selections) {
+        RankClient.CallOptions options = timeouts.forReading(rollout);
         Set<String> sampled = selections ? selectionSampling.next(agentIps(ranks)) : Set.of();
         List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
         for (RankClient.Route rank : ranks) {
             boolean withSelections = selections && (rank.isLocal() || sampled.contains(rank.agentIp()));
             RankCall.Read read = new RankCall.Read(term, withSelections, false);
-            calls.add(client.readRank(rank, read, timeouts.forReading(rollout)));
+            calls.add(client.readRank(rank, read, options));
         }
-        return allOf(calls);
+        return allOf(selections ? calls : measured(calls));
+    }
+
+    /** Reads the rank that decides how a rollout goes on. */
+    CompletableFuture<List<RankClient.Answer>> readDecidingRank(long term, RankClient.Route rank, MapRollout rollout) {
+        RankCall.Read read = new RankCall.Read(term, false, false);
+        return client.readRank(rank, read, timeouts.forReading(rollout)).thenApply(List::of);
     }
 
     private static List<String> agentIps(Collection<RankClient.Route> ranks) {
@@ -71,14 +77,20 @@
                 .toList();
     }
 
-    private CompletableFuture<RankClient.Answer> measured(
-            CompletableFuture<RankClient.Answer> call, long startedNanos) {
-        return call.thenApply(answer -> {
-            if (answer.reading() != null) {
-                timeouts.onAnswer(Duration.ofNanos(time.monotonicNanos() - startedNanos));
-            }
-            return answer;
-        });
+    /** Measures how long the ranks take to answer calls that have just been sent. */
+    private List<CompletableFuture<RankClient.Answer>> measured(List<CompletableFuture<RankClient.Answer>> calls) {
+        long startedNanos = time.monotonicNanos();
+        timeouts.onReadingStarted();
+        List<CompletableFuture<RankClient.Answer>> measured = new ArrayList<>();
+        for (CompletableFuture<RankClient.Answer> call : calls) {
+            measured.add(call.thenApply(answer -> {
+                if (answer.reading() != null) {
+                    timeouts.onAnswer(Duration.ofNanos(time.monotonicNanos() - startedNanos));
+                }
+                return answer;
+            }));
+        }
+        return measured;
     }
 
     private CompletableFuture<List<RankClient.Answer>> withUnreadEngines(long term, List<RankClient.Answer> answers) {
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -65,6 +65,8 @@
     private boolean takeoverComplete;
     private boolean renewingTerm;
     private @Nullable MapRollout rollout;
+    private List<RankView> rolloutViews = new ArrayList<>();
+    private long lastGroupReadNanos;
     private int incompleteReads;
     private long lastReportNanos;
     private long lastSelectionsNanos;
@@ -277,18 +279,33 @@
                 "planMillis",
                 time.monotonicMillis() - planStartedMillis);
         rollout = MapRollout.start(
-                ROLLOUT_LIMITS.withExchangeTime(timeouts.exchangeTime()),
-                views,
-                version,
-                views.size() - 1,
-                planned,
-                current,
-                time.monotonicMillis());
+                ROLLOUT_LIMITS, views, version, views.size() - 1, planned, current, time.monotonicMillis());
         return ReadingLog.Outcome.MAP_PLANNED;
     }
 
-    /** Reads all ranks and sends the next orders of the rollout. */
+    /** Reads the ranks that decide how the rollout goes on, and sends its next orders. */
     private CompletableFuture<Void> advanceRollout(MapRollout active) {
+        long sinceGroupReadNanos = time.monotonicNanos() - lastGroupReadNanos;
+        RankClient.Route decidingRank = ranks.get(active.decidingRank());
+        // All agents must hear of the controller within the election timeout.
+        return decidingRank != null && sinceGroupReadNanos < REPORT_INTERVAL.toNanos()
+                ? advanceByDecidingRank(active, decidingRank)
+                : advanceByGroup(active);
+    }
+
+    private CompletableFuture<Void> advanceByDecidingRank(MapRollout active, RankClient.Route decidingRank) {
+        return reader.readDecidingRank(term, decidingRank, active).thenCompose(answers -> {
+            RankCall.Reading reading = answers.get(0).reading();
+            if (reading == null || reading.state() == null || rolloutViews.isEmpty()) {
+                return onIncompleteRead(active);
+            }
+            incompleteReads = 0;
+            rolloutViews.set(active.decidingRank(), reading.state().view());
+            return sendOrders(active, active.nextOrders(rolloutViews, time.monotonicMillis()));
+        });
+    }
+
+    private CompletableFuture<Void> advanceByGroup(MapRollout active) {
         long startedNanos = time.monotonicNanos();
         boolean selections = selectionsDue(active);
         return reader.readDuringRollout(term, ranks.values(), active, selections)
@@ -309,6 +326,7 @@
                             ranks.size(),
                             active.mayBlockGroup() ? environment.knownEngines().get() : Set.of());
                     List<RankView> views = GroupReadings.views(readings, ranks.size());
+                    rolloutViews = new ArrayList<>(views);
                     if (views.isEmpty()) {
                         readingLog.record(
                                 new ReadingLog.Reading(
@@ -317,6 +335,8 @@
                         return onIncompleteRead(active);
                     }
                     incompleteReads = 0;
+                    lastGroupReadNanos = time.monotonicNanos();
+                    active.setLimits(ROLLOUT_LIMITS.withExchangeTime(timeouts.exchangeTime()));
                     return sendOrders(active, active.nextOrders(views, time.monotonicMillis()));
                 });
     }
