Search for better maps goes only through ranks that hold an expert

Profile of the trial: most samples in the loop over all ranks that looks for the holders of a replaced expert, then in moves to ranks that cannot be better than the best one.

Holders are listed by expert, and a rank is left out if even its largest expert would not make room enough. Slots are copied once a layer, not once a move.

--- a/experts/src/main/java/firwheel/experts/plan/IncrementalPlanner.java
+++ b/experts/src/main/java/firwheel/experts/plan/IncrementalPlanner.java
@@ -41,7 +41,9 @@
         LayerChange best =
                 new LayerChange(layer, evacuation, List.of(), evacuation.slots(), skewBefore, skewBefore, 0, 0);
         LayerSearch search = new LayerSearch(placement, layer, input.limits().maxLoadsPerRank());
+        int[][] slotsBefore = Slots.copy(placement.slots());
         List<ExpertMove> moves = new ArrayList<>();
+        int bestMoves = 0;
         while (moves.size() < input.limits().maxMovesPerLayer()) {
             List<ExpertMove> next = search.next();
             if (next.isEmpty()) {
@@ -51,19 +53,14 @@
             double skewAfter = placement.expectedSkewSeconds();
             double gain = input.costs().skewCost(skewBefore - skewAfter, input.prices());
             double cost = input.costs().moveCost(moves.size(), false, input.prices());
-            LayerChange candidate = new LayerChange(
-                    layer,
-                    evacuation,
-                    List.copyOf(moves),
-                    Slots.copy(placement.slots()),
-                    skewBefore,
-                    skewAfter,
-                    gain,
-                    cost);
             boolean sufficient = gain > 0 && gain >= input.limits().minGainRatio() * cost;
-            best = sufficient && candidate.netGain() > best.netGain() ? candidate : best;
+            if (sufficient && gain - cost > best.netGain()) {
+                best = new LayerChange(
+                        layer, evacuation, List.of(), evacuation.slots(), skewBefore, skewAfter, gain, cost);
+                bestMoves = moves.size();
+            }
         }
-        return best;
+        return bestMoves == 0 ? best : best.withMoves(List.copyOf(moves.subList(0, bestMoves)), slotsBefore);
     }
 
     private static MapPlan combine(PlanningInput input, List<LayerChange> changes) {
@@ -102,6 +99,24 @@
             return gain - cost;
         }
 
+        /** Returns this change with the moves that make it up, which are applied to {@code slotsBefore}. */
+        LayerChange withMoves(List<ExpertMove> applied, int[][] slotsBefore) {
+            applied.forEach(move -> apply(move, slotsBefore[move.destinationRank()]));
+            return new LayerChange(
+                    layer, evacuation, applied, slotsBefore, skewSecondsBefore, skewSecondsAfter, gain, cost);
+        }
+
+        private static void apply(ExpertMove move, int[] destination) {
+            for (int slot = 0; slot < destination.length; slot++) {
+                if (destination[slot] == move.evictedExpert()) {
+                    destination[slot] = move.expert();
+                    return;
+                }
+            }
+            throw new IllegalStateException(
+                    "expert " + move.evictedExpert() + " is not on rank " + move.destinationRank());
+        }
+
         double netGainPerMove() {
             return moves.isEmpty() ? 0 : netGain() / moves.size();
         }
--- a/experts/src/main/java/firwheel/experts/plan/LayerPlacement.java
+++ b/experts/src/main/java/firwheel/experts/plan/LayerPlacement.java
@@ -20,8 +20,11 @@
 
     private final int[][] slots;
     private final int[] copies;
+    private final int[][] holders;
+    private final int[] holderCounts;
     private final boolean[][] held;
     private final double[] shareWithMargin;
+    private final double[] largestShare;
     private final double[] seconds;
     private final double[] errorMargin;
     private final double relativeError;
@@ -48,8 +51,11 @@
         this.relativeError = relativeError;
         this.slots = slots;
         this.copies = new int[tokensPerStep.length];
+        this.holders = new int[tokensPerStep.length][slots.length];
+        this.holderCounts = new int[tokensPerStep.length];
         this.held = new boolean[slots.length][tokensPerStep.length];
         this.shareWithMargin = new double[tokensPerStep.length];
+        this.largestShare = new double[slots.length];
         this.expertSeconds = Arrays.stream(tokensPerStep)
                 .map(tokens -> tokens * secondsPerToken)
                 .toArray();
@@ -89,6 +95,16 @@
         return copies[expert];
     }
 
+    /** Returns the number of serving ranks that hold an expert. */
+    int holderCount(int expert) {
+        return holderCounts[expert];
+    }
+
+    /** Returns a serving rank that holds an expert, by an index below {@link #holderCount}. */
+    int holder(int expert, int index) {
+        return holders[expert][index];
+    }
+
     /** Returns the rank's predicted time plus a margin for the error of its experts' loads, in seconds per step. */
     double secondsWithMargin(int rank) {
         return seconds[rank] + errorMargin[rank];
@@ -112,6 +128,11 @@
         return expert == ExpertMap.EMPTY ? 0 : shareWithMargin[expert];
     }
 
+    /** Returns the largest {@link #shareWithMargin} of the experts on a rank. */
+    double largestShareWithMargin(int rank) {
+        return largestShare[rank];
+    }
+
     private double share(int expert) {
         return expert == ExpertMap.EMPTY ? 0 : expertSeconds[expert] / copies[expert];
     }
@@ -212,6 +233,15 @@
         recompute();
     }
 
+    /** Adds a rank, in ascending order. */
+    private void addHolder(int expert, int rank) {
+        int count = holderCounts[expert];
+        if (count == 0 || holders[expert][count - 1] != rank) {
+            holders[expert][count] = rank;
+            holderCounts[expert]++;
+        }
+    }
+
     private void markHeld(int rank, int expert) {
         if (expert != ExpertMap.EMPTY) {
             held[rank][expert] = Arrays.stream(slots[rank]).anyMatch(holds -> holds == expert);
@@ -220,10 +250,12 @@
 
     private void recompute() {
         Arrays.fill(copies, 0);
+        Arrays.fill(holderCounts, 0);
         for (int rank = 0; rank < slots.length; rank++) {
             for (int expert : slots[rank]) {
                 if (expert != ExpertMap.EMPTY && isServing[rank]) {
                     copies[expert]++;
+                    addHolder(expert, rank);
                 }
             }
         }
@@ -233,10 +265,12 @@
         for (int rank = 0; rank < slots.length; rank++) {
             double sum = 0;
             double squares = 0;
+            largestShare[rank] = 0;
             for (int expert : slots[rank]) {
                 double share = isServing[rank] ? share(expert) : 0;
                 sum += share;
                 squares += share * share;
+                largestShare[rank] = Math.max(largestShare[rank], shareWithMargin(expert));
             }
             seconds[rank] = sum * slowdown[rank];
             errorMargin[rank] = marginPerSquaredSecond * squares * slowdown[rank];
--- a/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
+++ b/experts/src/main/java/firwheel/experts/plan/LayerSearch.java
@@ -53,12 +53,16 @@
     /** Returns the best move of the expert in a slot, or {@code best} if none is better. */
     private @Nullable Candidate bestFor(int hotRank, int hotSlot, @Nullable Candidate best) {
         int expert = placement.expert(hotRank, hotSlot);
+        double newShare = placement.shareWithMargin(expert, placement.copies(expert) + 1);
         Candidate found = best;
         for (int rank = 0; rank < placement.ranks(); rank++) {
             boolean atLoadLimit = loads[rank] >= maxLoadsPerRank;
             if (rank == hotRank || atLoadLimit || !placement.isServing(rank) || placement.holds(rank, expert)) {
                 continue;
             }
+            if (largestReduction(hotRank, rank, newShare) <= requiredReduction(hotRank, found, false)) {
+                continue;
+            }
             for (int slot = 0; slot < placement.slotCount(rank); slot++) {
                 found = better(found, hotRank, hotSlot, rank, slot);
             }
@@ -87,6 +91,13 @@
         return found;
     }
 
+    /** Returns an upper bound of the reduction by a move to a rank, which replaces at most its largest share. */
+    private double largestReduction(int hotRank, int rank, double newShare) {
+        double rankAfter = placement.secondsWithMargin(rank)
+                + placement.slowdown(rank) * (newShare - placement.largestShareWithMargin(rank));
+        return placement.secondsWithMargin(hotRank) - rankAfter;
+    }
+
     /** Returns the reduction above which a move is better than {@code best}. */
     private double requiredReduction(int hotRank, @Nullable Candidate best, boolean swap) {
         double required = MIN_RELATIVE_REDUCTION * placement.secondsWithMargin(hotRank);
@@ -108,8 +119,9 @@
         }
         double addedShare = placement.shareWithMargin(occupant, placement.copies(occupant) - 1)
                 - placement.shareWithMargin(occupant);
-        for (int holder = 0; holder < placement.ranks(); holder++) {
-            if (holder != rank && placement.isServing(holder) && placement.holds(holder, occupant)) {
+        for (int index = 0; index < placement.holderCount(occupant); index++) {
+            int holder = placement.holder(occupant, index);
+            if (holder != rank) {
                 double before = holder == hotRank ? hotAfter : placement.secondsWithMargin(holder);
                 slowestSeconds = Math.max(slowestSeconds, before + placement.slowdown(holder) * addedShare);
             }
