A stream that waits at a full target is not moved to another one

All engines were full: the request lost its turn, its prompt was read again, and its caller, who leaves after 2 s without an event, left before the next turn.

Silence shows a lost target only if the target would have answered otherwise. A target whose recent report says that all its places are taken lets requests wait; such a stream stays. Without a recent report, or with a free place, nothing changes. TargetSelectorTest.Silence states when a target counts as full; it has no counterpart in the code before.

--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -189,6 +189,14 @@
         return candidates;
     }
 
+    /**
+     * Returns whether a target lets requests wait because all its places are taken, so that its silence does not show
+     * that it is lost.
+     */
+    public boolean letsRequestsWait(Target target) {
+        return load(target).isFull(time.monotonicNanos(), MAX_REPORT_AGE, target.slots());
+    }
+
     private List<Target> findAvailable(String service, Set<Target.Key> tried, long now) {
         List<Target> candidates = new ArrayList<>();
         for (Target target : directory.serving(service)) {
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -480,7 +480,9 @@
             return false;
         }
         boolean stream = route != null && route.kind() == RequestKind.STREAM;
-        if (stream && !state.targetSelector.otherTargetsResponding(service, attempt.target())) {
+        boolean waitsWithOthers = state.targetSelector.letsRequestsWait(attempt.target())
+                || !state.targetSelector.otherTargetsResponding(service, attempt.target());
+        if (stream && waitsWithOthers) {
             return true;
         }
         attempt.load().onUnreachable(state.time.monotonicNanos());
--- a/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
@@ -46,6 +46,22 @@
         return directory;
     }
 
+    @Nested
+    final class Silence {
+        /** The request would lose its turn and wait at the end of another queue. */
+        @Test
+        void ofATargetWithAllPlacesTakenIsNotThatOfALostOne() {
+            TargetSelector selector = selector(directory(2, true));
+            selector.load(rank(0, true)).onReport(time.monotonicNanos(), 8, 1);
+            selector.load(rank(1, true)).onReport(time.monotonicNanos(), 7, 1);
+
+            assertThat(selector.letsRequestsWait(rank(0, true))).isTrue();
+            assertThat(selector.letsRequestsWait(rank(1, true))).isFalse();
+            time.advance(Duration.ofSeconds(2));
+            assertThat(selector.letsRequestsWait(rank(0, true))).isFalse();
+        }
+    }
+
     @Nested
     final class Selection {
         @Test
