Ranks are filled only so far that pauses in streams keep their objective

All ranks execute each pass together, and a pass takes longer the more sequences it has; entries filled ranks up to their slots whatever the pauses.

From the factor of the latest five seconds follows the fill that keeps the objective (FillLimit); requests beyond it are refused at once, as at full targets.

--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -45,6 +45,8 @@
     GROUP_STATE(412, Severity.INFO, "A model group was reported in another state, or to have lost a rank."),
     STORE_READER(413, Severity.INFO, "An entry starts or stops polling the store; the event says why."),
     TARGET_CLAIM(414, Severity.INFO, "A target registered at the address of an earlier one, or its claim has ended."),
+    FILL_LIMIT(
+            415, Severity.INFO, "An entry places more or fewer requests at each rank, by the pauses in their streams."),
     LINK_REFUSED(501, Severity.WARN, "A peer failed authentication or sent a bad frame; its link was closed."),
     LINK_UP(502, Severity.INFO, "A link to a peer is up."),
     LINK_DOWN(503, Severity.INFO, "A link to a peer is down."),
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -1,6 +1,9 @@
 package firwheel.proxy.balance;
 
+import firwheel.model.EventCode;
+import firwheel.model.Events;
 import firwheel.model.TimeSource;
+import firwheel.proxy.config.EngineConfig;
 import firwheel.proxy.targets.GroupMembership;
 import firwheel.proxy.targets.Target;
 import firwheel.proxy.targets.TargetDirectory;
@@ -15,6 +18,8 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Selects a target for each request by water-filling. All entries receive the same load reports, so if each chose the
@@ -35,6 +40,8 @@
     private static final Duration RATE_WINDOW =
             Duration.ofSeconds(4); // long enough to contain some requests of one entry
 
+    private static final Logger logger = LoggerFactory.getLogger(TargetSelector.class);
+
     private final TargetDirectory directory;
     private final String localZone;
     private final TimeSource time;
@@ -43,6 +50,7 @@
     private final GroupStates groups;
     private final Map<String, ArrayDeque<Long>> recentSelections = new HashMap<>();
     private final StatedLimits limits;
+    private final Map<String, FillLimit> fillLimits = new HashMap<>();
     private int entryCount = 1;
 
     /** Creates a selector; {@code random} draws uniformly between 0 and 1. */
@@ -184,11 +192,57 @@
 
     private List<Target> findCandidates(String service, Set<Target.Key> tried, long now) {
         List<Target> candidates = findAvailable(service, tried, now);
-        candidates.removeIf(
-                target -> load(target).isFull(now, MAX_REPORT_AGE, target.slots()) || !limits.allows(target.key()));
+        candidates.removeIf(target ->
+                load(target).isFull(now, MAX_REPORT_AGE, usableSlots(target)) || !limits.allows(target.key()));
         return candidates;
     }
 
+    private int usableSlots(Target target) {
+        FillLimit limit = fillLimits.get(target.service());
+        return limit == null || target.group() == null ? target.slots() : limit.slots(target.slots());
+    }
+
+    /** Records a pause between two events of a stream of {@code service}. */
+    public void onPause(String service, Duration pause, Duration objective) {
+        fillLimits.computeIfAbsent(service, name -> new FillLimit()).onPause(pause, objective);
+    }
+
+    /** Adapts the fill of the ranks of {@code service} to the pauses in its streams; called at regular intervals. */
+    public void updateFillLimit(String service, EngineConfig engine) {
+        FillLimit limit = fillLimits.get(service);
+        if (limit == null) {
+            return;
+        }
+        int slotsBefore = limit.slots(engine.slots());
+        double currentFill = fill(service);
+        limit.update(engine, currentFill);
+        if (limit.slots(engine.slots()) != slotsBefore) {
+            Events.log(
+                    logger,
+                    EventCode.FILL_LIMIT,
+                    "service",
+                    service,
+                    "slots",
+                    limit.slots(engine.slots()),
+                    "slotsBefore",
+                    slotsBefore,
+                    "fillLimit",
+                    limit.fill(),
+                    "fill",
+                    currentFill);
+        }
+    }
+
+    /** Returns the mean share of slots in use at the targets of {@code service} whose load is known. */
+    private double fill(String service) {
+        long now = time.monotonicNanos();
+        return directory.serving(service).stream()
+                .mapToDouble(target -> Math.min(
+                        1, load(target).estimatedRequests(now, MAX_REPORT_AGE) / (double) Math.max(1, target.slots())))
+                .average()
+                .orElse(0);
+    }
+
     /**
      * Returns whether a target lets requests wait because all its places are taken, so that its silence does not show
      * that it is lost.
--- a/proxy/src/main/java/firwheel/proxy/config/Route.java
+++ b/proxy/src/main/java/firwheel/proxy/config/Route.java
@@ -17,6 +17,7 @@
  * @param priority priority of the requests; 0 is the highest
  * @param authenticationExempt whether requests need no API key
  * @param resumable whether a stream may resume at another target after its last complete event
+ * @param pauseObjective longest pause between events of a stream that is in time; zero if none is stated
  * @param patience time after which a client leaves if it has received nothing
  */
 public record Route(
@@ -31,6 +32,7 @@
         int priority,
         boolean authenticationExempt,
         boolean resumable,
+        Duration pauseObjective,
         Duration patience) {
     /** Validates the fields that routing decisions depend on. */
     public Route {
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -9,7 +9,9 @@
 import firwheel.proxy.balance.StatedLimits;
 import firwheel.proxy.balance.TargetSelector;
 import firwheel.proxy.config.ClientLimits;
+import firwheel.proxy.config.EngineConfig;
 import firwheel.proxy.config.RoutingConfig;
+import firwheel.proxy.config.ServiceConfig;
 import firwheel.proxy.crash.CrashReport;
 import firwheel.proxy.crash.RequestFingerprint;
 import firwheel.proxy.targets.GroupMembership;
@@ -325,12 +327,22 @@
         if (config != null) {
             closeIdleClients(
                     Duration.ofMillis(config.limits().idleTimeoutMillis()).toNanos());
+            updateFillLimits(config);
         }
         if (gracePeriodEnded) {
             closeIdleClients(0);
         }
     }
 
+    private void updateFillLimits(RoutingConfig config) {
+        for (ServiceConfig service : config.services()) {
+            EngineConfig engine = service.engine();
+            if (engine != null) {
+                state.targetSelector.updateFillLimit(service.name(), engine);
+            }
+        }
+    }
+
     private void closeIdleClients(long idleNanos) {
         long now = state.time.monotonicNanos();
         for (Map.Entry<HttpConnection, ClientConnection> entry : List.copyOf(clientConnections.entrySet())) {
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -341,8 +341,11 @@
     /** Records the time to the first chunk of the response and the pauses between later ones. */
     private void recordChunk() {
         long nowMillis = elapsedMillis();
-        if (timing.onChunk(nowMillis)) {
+        long pauseMillis = timing.onChunk(nowMillis);
+        if (pauseMillis < 0) {
             state.metrics.recordFirstByte(kindLabel(), nowMillis / MILLIS_PER_SECOND);
+        } else if (route != null) {
+            state.targetSelector.onPause(service, Duration.ofMillis(pauseMillis), route.pauseObjective());
         }
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/ResponseTiming.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ResponseTiming.java
@@ -8,16 +8,18 @@
     private long lastChunkMillis;
     private long longestPauseMillis;
 
-    /** Records a chunk that arrived {@code elapsedMillis} after the request; returns whether it is the first. */
-    boolean onChunk(long elapsedMillis) {
-        boolean first = firstByteMillis == UNSET;
-        if (first) {
+    /**
+     * Records a chunk that arrived {@code elapsedMillis} after the request; returns the pause since the one before, or -1
+     * if it is the first.
+     */
+    long onChunk(long elapsedMillis) {
+        long pauseMillis = firstByteMillis == UNSET ? UNSET : elapsedMillis - lastChunkMillis;
+        if (pauseMillis == UNSET) {
             firstByteMillis = elapsedMillis;
-        } else {
-            longestPauseMillis = Math.max(longestPauseMillis, elapsedMillis - lastChunkMillis);
         }
+        longestPauseMillis = Math.max(longestPauseMillis, pauseMillis);
         lastChunkMillis = elapsedMillis;
-        return first;
+        return pauseMillis;
     }
 
     /** Returns the time to the first chunk, or -1 if none has arrived. */
