Claims are logged where they are decided; views of a rollout have a class

The views of a rollout with the time of the latest reading of all ranks are RolloutViews, so that MapController is shorter.

--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -15,7 +15,6 @@
 import io.vertx.core.Vertx;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -127,31 +126,6 @@
         }
     }
 
-    /** Records that a target responded itself, which confirms that no earlier process is left at its address. */
-    void onTargetPresent(Target target) {
-        directory.onPresent(target);
-    }
-
-    /** Records that another process responded at the address of a target. */
-    void onWrongInstance(Target target) {
-        Set<Target.Key> reinstated = directory.onClaimRefuted(target);
-        if (!reinstated.isEmpty()) {
-            Events.log(
-                    logger,
-                    EventCode.TARGET_CLAIM,
-                    "target",
-                    target.instanceId(),
-                    "startedMillis",
-                    target.startedMillis(),
-                    "address",
-                    target.ip() + ":" + target.port(),
-                    "outcome",
-                    "another process responded",
-                    "reinstated",
-                    reinstated);
-        }
-    }
-
     /** Records that a target said in a response that it leaves. */
     void onTargetLeaving(Target target) {
         if (directory.markLeaving(target.key())) {
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -141,12 +141,12 @@
             state.onTargetLeaving(target);
         }
         if (received.wrongInstance()) {
-            state.onWrongInstance(target);
+            state.directory.onClaimRefuted(target, "another process responded");
         } else {
             state.onTargetLimit(target, received.requestLimit());
         }
         if (received.signed()) {
-            state.onTargetPresent(target);
+            state.directory.onPresent(target);
         }
         Duration retryAfter = received.retryAfter();
         if (retryAfter != null && load.onDeclined(state.time.monotonicNanos(), retryAfter)) {
--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -1,5 +1,7 @@
 package firwheel.proxy.targets;
 
+import firwheel.model.EventCode;
+import firwheel.model.Events;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -9,6 +11,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** All registered targets, by service. Not thread-safe: confined to the event loop that routes requests. */
 public final class TargetDirectory {
@@ -21,6 +25,7 @@
 
     // Incarnations that leave are remembered after their registration is gone, since an old one may come back.
     private static final int MAX_REMEMBERED = 4_096;
+    private static final Logger logger = LoggerFactory.getLogger(TargetDirectory.class);
 
     private final Map<String, Target> byId = new LinkedHashMap<>();
     private final Set<Target.Key> leaving = newBoundedSet();
@@ -51,7 +56,11 @@
         if (target.draining()) {
             leaving.add(target.key());
         }
+        boolean claimed = claims.isUnconfirmed(target.key());
         byId.values().forEach(other -> claims.onRegistered(target, other));
+        if (!claimed && claims.isUnconfirmed(target.key())) {
+            logClaim(target, "registered", Set.of());
+        }
         Target previous = byId.put(target.instanceId(), target);
         rebuildIndex();
         if (previous != null && (target.draining() || !previous.key().equals(target.key()))) {
@@ -75,15 +84,40 @@
      * Ends the claim of {@code target} to its address, because another process responds there or because the earlier
      * one is still registered; returns the targets that are in use again.
      */
-    public Set<Target.Key> onClaimRefuted(Target target) {
+    public Set<Target.Key> onClaimRefuted(Target target, String reason) {
         if (!claims.isUnconfirmed(target.key())) {
             return Set.of();
         }
         Set<Target.Key> reinstated = claims.end(target.key());
+        reinstated.removeIf(key -> !isRegistered(key));
         rebuildIndex();
+        if (!reinstated.isEmpty()) {
+            logClaim(target, reason, reinstated);
+        }
         return reinstated;
     }
 
+    private boolean isRegistered(Target.Key key) {
+        Target registered = byId.get(key.instanceId());
+        return registered != null && registered.key().equals(key);
+    }
+
+    private static void logClaim(Target target, String outcome, Set<Target.Key> reinstated) {
+        Events.log(
+                logger,
+                EventCode.TARGET_CLAIM,
+                "target",
+                target.instanceId(),
+                "startedMillis",
+                target.startedMillis(),
+                "address",
+                target.ip() + ":" + target.port(),
+                "outcome",
+                outcome,
+                "reinstated",
+                reinstated);
+    }
+
     /** Removes a target; unknown identifiers are ignored. */
     public void remove(String instanceId) {
         Target previous = byId.remove(instanceId);
--- a/proxy/src/test/java/firwheel/proxy/targets/TargetDirectoryTest.java
+++ b/proxy/src/test/java/firwheel/proxy/targets/TargetDirectoryTest.java
@@ -64,7 +64,7 @@
             directory.put(startedAt("i-1", 7));
             directory.put(startedAt("i-2", 8));
 
-            assertThat(directory.onClaimRefuted(startedAt("i-2", 8)))
+            assertThat(directory.onClaimRefuted(startedAt("i-2", 8), "test"))
                     .containsExactly(startedAt("i-1", 7).key());
             directory.put(startedAt("i-2", 8));
             assertThat(directory.serving("svc")).extracting(Target::instanceId).contains("i-1");
@@ -76,7 +76,7 @@
             directory.put(startedAt("i-2", 8));
             directory.onPresent(startedAt("i-2", 8));
 
-            assertThat(directory.onClaimRefuted(startedAt("i-2", 8))).isEmpty();
+            assertThat(directory.onClaimRefuted(startedAt("i-2", 8), "test")).isEmpty();
             assertThat(directory.serving("svc")).extracting(Target::instanceId).containsExactly("i-2");
         }
 
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -10,7 +10,6 @@
 import firwheel.model.TimeSource;
 import io.vertx.core.Vertx;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,6 +56,7 @@
     private final ReadingLog readingLog;
     private final CallTimeouts timeouts = new CallTimeouts();
     private final ReadPace readPace = new ReadPace();
+    private final RolloutViews rolloutViews;
     private final MapInUse mapInUse = new MapInUse();
     private final MapVersions versions = new MapVersions();
     private final Map<Integer, RankClient.Route> ranks = new TreeMap<>();
@@ -65,8 +65,6 @@
     private boolean takeoverComplete;
     private boolean renewingTerm;
     private @Nullable MapRollout rollout;
-    private List<RankView> rolloutViews = new ArrayList<>();
-    private long lastGroupReadNanos;
     private int incompleteReads;
     private long lastReportNanos;
     private long lastSelectionsNanos;
@@ -87,6 +85,7 @@
         this.engine = engine;
         RankClient client = new RankClient(vertx, time, agent, http, environment.engineAt());
         dispatch = new OrderDispatch(client, timeouts);
+        rolloutViews = new RolloutViews(time);
         reader = new GroupReader(client, time, environment.knownEngines(), timeouts);
         this.election = election;
         this.environment = environment;
@@ -286,10 +285,9 @@
 
     /** Reads the ranks that decide how the rollout goes on, and sends its next orders. */
     private CompletableFuture<Void> advanceRollout(MapRollout active) {
-        long sinceGroupReadNanos = time.monotonicNanos() - lastGroupReadNanos;
         RankClient.Route decidingRank = ranks.get(active.decidingRank());
         // All agents must hear of the controller within the election timeout.
-        return decidingRank != null && sinceGroupReadNanos < REPORT_INTERVAL.toNanos()
+        return decidingRank != null && rolloutViews.isGroupReadWithin(REPORT_INTERVAL)
                 ? advanceByDecidingRank(active, decidingRank)
                 : advanceByGroup(active);
     }
@@ -297,12 +295,13 @@
     private CompletableFuture<Void> advanceByDecidingRank(MapRollout active, RankClient.Route decidingRank) {
         return reader.readDecidingRank(term, decidingRank, active).thenCompose(answers -> {
             RankCall.Reading reading = answers.get(0).reading();
-            if (reading == null || reading.state() == null || rolloutViews.isEmpty()) {
+            if (reading == null || reading.state() == null) {
                 return onIncompleteRead(active);
             }
             incompleteReads = 0;
-            rolloutViews.set(active.decidingRank(), reading.state().view());
-            return sendOrders(active, active.nextOrders(rolloutViews, time.monotonicMillis()));
+            List<RankView> views = rolloutViews.withNewer(
+                    active.decidingRank(), reading.state().view());
+            return sendOrders(active, active.nextOrders(views, time.monotonicMillis()));
         });
     }
 
@@ -327,7 +326,7 @@
                             ranks.size(),
                             active.mayBlockGroup() ? environment.knownEngines().get() : Set.of());
                     List<RankView> views = GroupReadings.views(readings, ranks.size());
-                    rolloutViews = new ArrayList<>(views);
+                    rolloutViews.onGroupRead(views);
                     if (views.isEmpty()) {
                         readingLog.record(
                                 new ReadingLog.Reading(
@@ -336,7 +335,6 @@
                         return onIncompleteRead(active);
                     }
                     incompleteReads = 0;
-                    lastGroupReadNanos = time.monotonicNanos();
                     active.setLimits(ROLLOUT_LIMITS.withExchangeTime(timeouts.exchangeTime()));
                     return sendOrders(active, active.nextOrders(views, time.monotonicMillis()));
                 });
