Tests read streams with a client that takes trailers

The product is right (RFC 9112, 7.1.2); the tests' client is not.

Streams are now read with the HTTP client that the product uses anyway, in FaultPathTest and DemoTest. What is asserted stays, and a complete stream must also state the outcome "complete" in its trailer, which no test could see before. A first trial sent bookings with it too and hung: the condition of Deployment.await runs on the event loop that the call needs. Bookings use the JDK's client as before.

--- a/cli/src/test/java/firwheel/cli/DemoTest.java
+++ b/cli/src/test/java/firwheel/cli/DemoTest.java
@@ -5,12 +5,17 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import firwheel.standin.ExpectedResponse;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
@@ -48,6 +53,24 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Returns the body of a stream; the client of the JDK fails responses with trailers, at least in 17.0.21. */
+    private String postStream(String body) {
+        Vertx vertx = Vertx.vertx();
+        CompletableFuture<String> content = new CompletableFuture<>();
+        // On an event loop, since the body of a response is lost if it is read after the response has ended.
+        vertx.getOrCreateContext().runOnContext(ignored -> vertx.createHttpClient()
+                .request(HttpMethod.POST, demo.entryPorts().get(0), "127.0.0.1", "/v1/completions")
+                .compose(request -> request.send(body))
+                .compose(HttpClientResponse::body)
+                .onSuccess(received -> content.complete(received.toString()))
+                .onFailure(content::completeExceptionally));
+        try {
+            return content.orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS).join();
+        } finally {
+            vertx.close().toCompletionStage().toCompletableFuture().join();
+        }
+    }
+
     private static String header(HttpResponse<String> response, String name) {
         return response.headers().firstValue(name).orElse("absent");
     }
@@ -67,11 +90,10 @@
 
         @Test
         void streamsEveryTokenInOrder() throws Exception {
-            HttpResponse<String> response = post(
-                    "/v1/completions", "{\"model\":\"demo-model\",\"prompt\":\"q\",\"max_tokens\":6,\"stream\":true}");
+            String body = postStream("{\"model\":\"demo-model\",\"prompt\":\"q\",\"max_tokens\":6,\"stream\":true}");
 
             StringBuilder text = new StringBuilder();
-            for (String event : response.body().split("\n\n", -1)) {
+            for (String event : body.split("\n\n", -1)) {
                 if (event.startsWith("data: {")) {
                     text.append(mapper.readTree(event.substring("data: ".length()))
                             .at("/choices/0/text")
@@ -79,7 +101,7 @@
                 }
             }
             assertThat(text.toString()).isEqualTo(String.join("", ExpectedResponse.tokens("demo-model", "q", 6)));
-            assertThat(response.body()).endsWith("data: [DONE]\n\n");
+            assertThat(body).endsWith("data: [DONE]\n\n");
         }
     }
 
--- a/entry/src/test/java/firwheel/entry/Deployment.java
+++ b/entry/src/test/java/firwheel/entry/Deployment.java
@@ -16,8 +16,14 @@
 import firwheel.standin.StandInEngine;
 import firwheel.standin.StandInPlatform;
 import firwheel.standin.StandInService;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.RequestOptions;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -27,19 +33,34 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /** One entry, one engine and one service. Each target has an agent that the entry reaches through a {@link LinkProxy}. */
 final class Deployment implements AutoCloseable {
     private static final String LOOPBACK = "127.0.0.1";
     private static final String KEY = "test-key";
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
+    private static final String OUTCOME = "Firwheel-Outcome";
+
+    /**
+     * A response as its caller gets it.
+     *
+     * @param statusCode HTTP status
+     * @param hasRetryAfter whether it says when to come back
+     * @param body content
+     * @param outcome outcome as stated in the headers or, after a stream, in the trailers
+     */
+    record Response(int statusCode, boolean hasRetryAfter, String body, String outcome) {}
 
     final Vertx vertx = Vertx.vertx();
     final StandInEngine engine = new StandInEngine(vertx, Duration.ofMillis(5), Duration.ofMillis(10));
     final StandInService service = new StandInService(vertx, Duration.ofMillis(300));
     final HttpServer platform;
     final EntryServer entry;
-    final HttpClient client = HttpClient.newHttpClient();
+    // The client of the JDK fails responses with trailers, at least in 17.0.21.
+    private final io.vertx.core.http.HttpClient streamClient = vertx.createHttpClient();
+    private final HttpClient bookingClient = HttpClient.newHttpClient();
+    private final Context callerContext = vertx.getOrCreateContext();
     private volatile TableSnapshot table = TableSnapshot.EMPTY;
     private final Vertx engineVertx = Vertx.vertx();
     private Vertx serviceVertx = Vertx.vertx();
@@ -88,24 +109,69 @@
         close(engineVertx);
     }
 
-    HttpRequest.Builder request(String path, String body) {
-        return HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + entry.port() + path))
+    CompletableFuture<Response> book(String body, String key) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(
+                        URI.create("http://" + LOOPBACK + ":" + entry.port() + "/services/orders/bookings"))
                 .timeout(TIMEOUT)
                 .POST(HttpRequest.BodyPublishers.ofString(body));
-    }
-
-    CompletableFuture<HttpResponse<String>> book(String body, String key) {
-        HttpRequest.Builder request = request("/services/orders/bookings", body);
         if (!key.isEmpty()) {
             request.header("Idempotency-Key", key);
         }
-        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+        return bookingClient
+                .sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+                .thenApply(response -> new Response(
+                        response.statusCode(),
+                        response.headers().firstValue("Retry-After").isPresent(),
+                        response.body(),
+                        response.headers().firstValue(OUTCOME).orElse("absent")));
+    }
+
+    CompletableFuture<Response> stream(String prompt, int tokens) {
+        return onEventLoop(() -> request(prompt, tokens).compose(Deployment::toResponse));
+    }
+
+    /** Opens a stream of which nothing is read until {@link #readAll}. */
+    HttpClientResponse openStream(String prompt, int tokens) {
+        return onEventLoop(() -> request(prompt, tokens).map(HttpClientResponse::pause))
+                .join();
     }
 
-    CompletableFuture<HttpResponse<String>> stream(String prompt, int tokens) {
+    /** Reads what is left of a response. */
+    Response readAll(HttpClientResponse response) {
+        return onEventLoop(() -> toResponse(response)).join();
+    }
+
+    private Future<HttpClientResponse> request(String prompt, int tokens) {
         String body =
                 "{\"model\":\"model\",\"prompt\":\"" + prompt + "\",\"stream\":true,\"max_tokens\":" + tokens + "}";
-        return client.sendAsync(request("/v1/completions", body).build(), HttpResponse.BodyHandlers.ofString());
+        RequestOptions options = new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(LOOPBACK)
+                .setPort(entry.port())
+                .setURI("/v1/completions");
+        return streamClient.request(options).compose(request -> request.send(Buffer.buffer(body)));
+    }
+
+    private static Future<Response> toResponse(HttpClientResponse response) {
+        Future<Buffer> body = response.body();
+        response.resume();
+        return body.map(content -> {
+            String inHeader = response.getHeader(OUTCOME);
+            String outcome = inHeader == null ? response.getTrailer(OUTCOME) : inHeader;
+            return new Response(
+                    response.statusCode(),
+                    response.getHeader("Retry-After") != null,
+                    content.toString(),
+                    outcome == null ? "absent" : outcome);
+        });
+    }
+
+    /** Runs on an event loop, since the body of a response is lost if it is read after the response has ended. */
+    private <T> CompletableFuture<T> onEventLoop(Supplier<Future<T>> action) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        callerContext.runOnContext(
+                ignored -> action.get().onSuccess(result::complete).onFailure(result::completeExceptionally));
+        return result.orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
     }
 
     /** Waits until the condition holds; fails after the timeout. */
--- a/entry/src/test/java/firwheel/entry/FaultPathTest.java
+++ b/entry/src/test/java/firwheel/entry/FaultPathTest.java
@@ -6,9 +6,7 @@
 
 import firwheel.model.RowState;
 import firwheel.standin.ExpectedResponse;
-import java.io.InputStream;
-import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
+import io.vertx.core.http.HttpClientResponse;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.regex.Matcher;
@@ -32,7 +30,7 @@
     final class Links {
         @Test
         void streamResumesOverNewLink() {
-            CompletableFuture<HttpResponse<String>> response = deployment.stream("p", 100);
+            CompletableFuture<Deployment.Response> response = deployment.stream("p", 100);
             deployment.await(() -> deployment.engine.running() == 1);
             deployment.engineProxy.closeLinks();
             assertCompleteStream(response.join(), "p", 100);
@@ -41,11 +39,11 @@
 
         @Test
         void bookingWithLinkLostAfterDispatchCompletesAndRunsOnce() {
-            CompletableFuture<HttpResponse<String>> response = deployment.book("{}", "");
+            CompletableFuture<Deployment.Response> response = deployment.book("{}", "");
             deployment.await(() -> deployment.service.ledger().size() == 1);
             deployment.serviceProxy.closeLinks();
             assertThat(response.join().statusCode()).isEqualTo(200);
-            assertThat(outcome(response.join())).isEqualTo("complete");
+            assertThat(response.join().outcome()).isEqualTo("complete");
             assertThat(deployment.service.ledger()).hasSize(1);
         }
     }
@@ -54,16 +52,16 @@
     final class Restarts {
         @Test
         void bookingHasUnknownOutcomeAndRunsOnceWhenAgentRestarts() {
-            CompletableFuture<HttpResponse<String>> response = deployment.book("{}", "");
+            CompletableFuture<Deployment.Response> response = deployment.book("{}", "");
             deployment.await(() -> deployment.service.ledger().size() == 1);
             deployment.restartServiceAgent();
-            assertThat(outcome(response.join())).isEqualTo("unknown");
+            assertThat(response.join().outcome()).isEqualTo("unknown");
             assertThat(deployment.service.ledger()).hasSize(1);
         }
 
         @Test
         void streamFailsExplicitlyWhenAgentDies() {
-            CompletableFuture<HttpResponse<String>> response = deployment.stream("p", 200);
+            CompletableFuture<Deployment.Response> response = deployment.stream("p", 200);
             deployment.await(() -> deployment.engine.running() == 1);
             deployment.killEngineAgent();
             Throwable aborted = catchThrowable(response::join);
@@ -77,21 +75,21 @@
     final class Callers {
         @Test
         void disconnectCancelsEngineRequest() throws Exception {
-            String body = "{\"model\":\"model\",\"prompt\":\"p\",\"stream\":true,\"max_tokens\":2000}";
-            HttpResponse<InputStream> response = deployment.client.send(
-                    deployment.request("/v1/completions", body).build(), HttpResponse.BodyHandlers.ofInputStream());
-            response.body().close();
+            HttpClientResponse response = deployment.openStream("p", 2_000);
+            response.request()
+                    .connection()
+                    .close()
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .join();
             deployment.await(() -> deployment.engine.cancelled() == 1);
         }
 
         @Test
         void slowReaderDoesNotDelayOtherCallers() throws Exception {
-            String body = "{\"model\":\"model\",\"prompt\":\"p\",\"stream\":true,\"max_tokens\":300}";
-            HttpResponse<InputStream> slow = deployment.client.send(
-                    deployment.request("/v1/completions", body).build(), HttpResponse.BodyHandlers.ofInputStream());
+            HttpClientResponse slow = deployment.openStream("p", 300);
             assertCompleteStream(deployment.stream("q", 20).join(), "q", 20);
-            String text = new String(slow.body().readAllBytes(), StandardCharsets.UTF_8);
-            assertThat(text(text)).isEqualTo(String.join("", ExpectedResponse.tokens("model", "p", 300)));
+            assertCompleteStream(deployment.readAll(slow), "p", 300);
         }
     }
 
@@ -99,7 +97,7 @@
     final class IdempotencyKeys {
         @Test
         void repeatGetsRecordedResponse() {
-            HttpResponse<String> first = deployment.book("{}", "key").join();
+            Deployment.Response first = deployment.book("{}", "key").join();
             deployment.await(() -> deployment.book("{}", "key").join().statusCode() == 200);
             assertThat(deployment.book("{}", "key").join().body()).isEqualTo(first.body());
             assertThat(deployment.book("{\"a\":1}", "key").join().statusCode()).isEqualTo(422);
@@ -108,8 +106,8 @@
 
         @Test
         void concurrentRequestsRunOnce() {
-            CompletableFuture<HttpResponse<String>> first = deployment.book("{}", "key");
-            CompletableFuture<HttpResponse<String>> second = deployment.book("{}", "key");
+            CompletableFuture<Deployment.Response> first = deployment.book("{}", "key");
+            CompletableFuture<Deployment.Response> second = deployment.book("{}", "key");
             List<Integer> codes =
                     List.of(first.join().statusCode(), second.join().statusCode());
             assertThat(codes).containsExactlyInAnyOrder(200, 409);
@@ -124,9 +122,9 @@
                     .toCompletionStage()
                     .toCompletableFuture()
                     .join();
-            HttpResponse<String> refused = deployment.book("{}", "key").join();
-            assertThat(outcome(refused)).isEqualTo("not-run");
-            assertThat(refused.headers().firstValue("Retry-After")).isPresent();
+            Deployment.Response refused = deployment.book("{}", "key").join();
+            assertThat(refused.outcome()).isEqualTo("not-run");
+            assertThat(refused.hasRetryAfter()).isTrue();
             assertThat(deployment.service.ledger()).isEmpty();
         }
     }
@@ -135,11 +133,11 @@
     final class Draining {
         @Test
         void agentFinishesRunningAttemptsAndRefusesNewOnes() {
-            CompletableFuture<HttpResponse<String>> running = deployment.stream("p", 100);
+            CompletableFuture<Deployment.Response> running = deployment.stream("p", 100);
             deployment.await(() -> deployment.engine.running() == 1);
             CompletableFuture<Void> drained = deployment.engineAgent.drain();
-            HttpResponse<String> refused = deployment.stream("q", 1).join();
-            assertThat(outcome(refused)).isEqualTo("not-run");
+            Deployment.Response refused = deployment.stream("q", 1).join();
+            assertThat(refused.outcome()).isEqualTo("not-run");
             assertCompleteStream(running.join(), "p", 100);
             drained.join();
             assertThat(deployment.engine.started()).isEqualTo(1);
@@ -147,38 +145,39 @@
 
         @Test
         void entryFinishesRunningRequestsAndRefusesNewOnes() {
-            CompletableFuture<HttpResponse<String>> running = deployment.stream("p", 100);
+            CompletableFuture<Deployment.Response> running = deployment.stream("p", 100);
             deployment.await(() -> deployment.engine.running() == 1);
             CompletableFuture<Void> drained = deployment.entry.drain();
-            HttpResponse<String> refused = deployment.stream("q", 1).join();
-            assertThat(outcome(refused)).isEqualTo("not-run");
+            Deployment.Response refused = deployment.stream("q", 1).join();
+            assertThat(refused.outcome()).isEqualTo("not-run");
             assertCompleteStream(running.join(), "p", 100);
             drained.join();
         }
 
         @Test
         void forcedDrainFailsOpenRequestsExplicitly() {
-            CompletableFuture<HttpResponse<String>> booking = deployment.book("{}", "");
+            CompletableFuture<Deployment.Response> booking = deployment.book("{}", "");
             deployment.await(() -> deployment.service.ledger().size() == 1);
             CompletableFuture<Void> drained = deployment.entry.drain();
             deployment.entry.forceDrain();
-            assertThat(outcome(booking.join())).isEqualTo("unknown");
+            assertThat(booking.join().outcome()).isEqualTo("unknown");
             assertThatThrownBy(drained::join).hasMessageContaining("FW-4004");
         }
 
         @Test
         void leavingRowFinishesRunningAttemptsAndAdmitsNoNewOnes() {
-            CompletableFuture<HttpResponse<String>> running = deployment.stream("p", 100);
+            CompletableFuture<Deployment.Response> running = deployment.stream("p", 100);
             deployment.await(() -> deployment.engine.running() == 1);
             deployment.publishTable(RowState.LEAVING);
-            assertThat(outcome(deployment.stream("q", 1).join())).isEqualTo("not-run");
+            assertThat(deployment.stream("q", 1).join().outcome()).isEqualTo("not-run");
             assertCompleteStream(running.join(), "p", 100);
         }
     }
 
-    private static void assertCompleteStream(HttpResponse<String> response, String prompt, int tokens) {
+    private static void assertCompleteStream(Deployment.Response response, String prompt, int tokens) {
         assertThat(text(response.body())).isEqualTo(String.join("", ExpectedResponse.tokens("model", prompt, tokens)));
         assertThat(response.body()).endsWith("data: [DONE]\n\n");
+        assertThat(response.outcome()).isEqualTo("complete");
     }
 
     private static String text(String events) {
@@ -189,8 +188,4 @@
         }
         return text.toString();
     }
-
-    private static String outcome(HttpResponse<String> response) {
-        return response.headers().firstValue("Firwheel-Outcome").orElse("absent");
-    }
 }
