--- a/proxy/src/main/java/firwheel/proxy/targets/AddressClaims.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/AddressClaims.java
@@ -8,8 +8,7 @@
 
 /**
  * Targets that are out of use because another one registered later at their address. The registration of a process that
- * has ended lapses seconds later, so a claim spares it requests until then. A registration can also be wrong, so a claim
- * ends if it is not confirmed.
+ * has ended lapses only seconds later. A later registration can also be wrong, so a claim ends if it is not confirmed.
  */
 final class AddressClaims {
     private static final int MAX_DISPLACED = 4_096; // many times the targets of a deployment
--- a/rebalance/src/main/java/firwheel/rebalance/OrderDispatch.java
+++ b/rebalance/src/main/java/firwheel/rebalance/OrderDispatch.java
@@ -26,8 +26,10 @@
     /** Sends the orders; completes when all have been answered or have failed. */
     CompletableFuture<Void> send(
             MapRollout rollout, long term, Map<Integer, RankClient.Route> ranks, List<RankOrder> orders) {
-        boolean toAll = orders.size() == ranks.size()
+        boolean relayed = orders.size() == ranks.size()
                 && orders.size() > RANKS_PER_SOURCE
+                // While the group may be blocked, no rank waits for the agent of another one.
+                && !rollout.mayBlockGroup()
                 && orders.stream().allMatch(order -> order.action() == RankOrder.Action.PREPARE);
         List<CompletableFuture<Boolean>> calls = new ArrayList<>();
         String source = "";
@@ -38,7 +40,7 @@
                 continue;
             }
             RankClient.CallOptions options = timeouts.forOrder(rollout, order.action());
-            if (toAll && !rank.isLocal() && !source.isEmpty() && fetching < RANKS_PER_SOURCE - 1) {
+            if (relayed && !rank.isLocal() && !source.isEmpty() && fetching < RANKS_PER_SOURCE - 1) {
                 fetching++;
                 calls.add(client.sendOrderWithPlacementFrom(source, rank, term, order, options));
                 continue;
