--- a/rebalance/src/main/java/firwheel/rebalance/OrderDispatch.java
+++ b/rebalance/src/main/java/firwheel/rebalance/OrderDispatch.java
@@ -28,8 +28,6 @@
             MapRollout rollout, long term, Map<Integer, RankClient.Route> ranks, List<RankOrder> orders) {
         boolean relayed = orders.size() == ranks.size()
                 && orders.size() > RANKS_PER_SOURCE
-                // While the group may be blocked, no rank waits for the agent of another one.
-                && !rollout.mayBlockGroup()
                 && orders.stream().allMatch(order -> order.action() == RankOrder.Action.PREPARE);
         List<CompletableFuture<Boolean>> calls = new ArrayList<>();
         String source = "";
