Review case 2: show that the ranks' maps stay different

Ten seconds after the first pass with two maps, with orders answered again, the ranks still have different maps.

--- a/review/standins/src/LateGo.java
+++ b/review/standins/src/LateGo.java
@@ -74,6 +74,12 @@
         for (int i = 0; i < 3; i++) {
             request();
         }
+        // Is the difference repaired?
+        Thread.sleep(10_000);
+        request();
+        synchronized (group) {
+            group.ranks.forEach(rank -> deployment.log("at the end, " + rank));
+        }
         boolean broken = group.mapsDiffered();
         deployment.log(broken ? "MAP is broken" : "the rule held");
         System.exit(broken ? 1 : 0);
