--- a/review/standins/src/LateGo.java
+++ b/review/platform/src/LateGo.java
@@ -18,6 +18,7 @@
     private static final int IDLE_MILLIS = 40_000;
 
     private static final Random random = new Random(1);
+    private static final int BROKEN = 10; // exit code; the JVM itself exits with 1 after an error
     private static Deployment deployment;
     private static Group group;
     private static String entryIp;
@@ -82,7 +83,7 @@
         }
         boolean broken = group.mapsDiffered();
         deployment.log(broken ? "MAP is broken" : "the rule held");
-        System.exit(broken ? 1 : 0);
+        System.exit(broken ? BROKEN : 0);
     }
 
     /** Leaves a share of the orders unanswered and carries them out late. */
--- a/review/standins/src/Removals.java
+++ b/review/platform/src/Removals.java
@@ -75,6 +75,7 @@
         }
     }
 
+    private static final int BROKEN = 10; // exit code; the JVM itself exits with 1 after an error
     private static Deployment deployment;
     private static Store store;
     private static int entryPort;
@@ -139,7 +140,7 @@
         deployment.log("sent " + sent + ", run " + runs + ", answered with success " + succeeded + ", late " + late);
         boolean broken = late.get() > 0;
         deployment.log(broken ? "DRAIN is broken" : "the rule held");
-        System.exit(broken ? 1 : 0);
+        System.exit(broken ? BROKEN : 0);
     }
 
     private static Map<String, Object> config() {
--- a/review/standins/src/Uploads.java
+++ b/review/platform/src/Uploads.java
@@ -25,6 +25,7 @@
     private static final int SMALL_REQUESTS = 150;
     private static final int SMALL_INTERVAL_MILLIS = 100;
 
+    private static final int BROKEN = 10; // exit code; the JVM itself exits with 1 after an error
     private static Deployment deployment;
     private static int entryPort;
     private static final AtomicInteger ids = new AtomicInteger();
@@ -84,7 +85,7 @@
                 + unansweredLater);
         boolean broken = unansweredAtTimeout.get() >= 8 && 2 * unansweredLater.get() > unansweredAtTimeout.get();
         deployment.log(broken ? "CONFIG is broken" : "the rule held");
-        System.exit(broken ? 1 : 0);
+        System.exit(broken ? BROKEN : 0);
     }
 
     private static Map<String, Object> config() {
