--- a/review/platform/src/LateGo.java
+++ b/review/platform/src/LateGo.java
@@ -4,7 +4,7 @@
 import java.util.Random;
 
 /**
- * An entry, and a group of four ranks with an agent each. While the group is idle, the orders of one rank to arm and
+ * An entry, and a group of four ranks with an agent each. For twice six seconds while the group is idle, the orders of one rank to arm and
  * every other order to end a hold get no answer and are carried out 2 to 12 seconds later, as it happens. Does each pass
  * still begin with the same map on all ranks?
  */
@@ -15,6 +15,8 @@
     private static final double LATE_SHARE = 0.5;
     private static final int MIN_LATE_MILLIS = 2_000;
     private static final int MAX_LATE_MILLIS = 12_000;
+    private static final int DISRUPTION_MILLIS = 6_000;
+    private static final int DISRUPTIONS = 2; // one after the other
     private static final int IDLE_MILLIS = 40_000;
 
     private static final Random random = new Random(1);
@@ -62,6 +64,12 @@
         }
         if (trouble) {
             group.setFate(LateGo::isAnswered);
+            deployment.log("orders are left unanswered from now on");
+            Http.daemon(() -> {
+                Thread.sleep(DISRUPTIONS * DISRUPTION_MILLIS);
+                group.setFate((rank, operation, order) -> true);
+                deployment.log("orders are answered again");
+            });
         }
         // The last requests have another demand, for which another map is planned. Then the group is idle.
         group.setDemand(1);
