Log the parts of the prompt and the events of each lost response

After a crash of a target, the logs did not tell which of the requests that broke had parts of their prompts in common, nor which had already been responded to.

Requests carry the identifiers in their metadata.

--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -406,7 +406,7 @@
             forwardResponse(attempt.target(), head, Buffer.buffer());
             return;
         }
-        if (!attempt.hasSentEvent()) {
+        if (attempt.events() == 0) {
             onResponseLost(attempt, "target " + attempt.target().instanceId() + " resumed the stream with no event");
             return;
         }
@@ -458,7 +458,7 @@
 
     @Override
     public void onResponseLost(TargetAttempt attempt, String reason) {
-        log.responseLost(attempt.target(), reason);
+        log.responseLost(attempt.target(), reason, attempt.events(), metadata.promptParts());
         var probe = suspicion.connectionLost() ? state.probe(attempt.target()) : null;
         if (probe != null && suspicion.isSuspected() && mayRetry()) {
             // Whether the target has ended decides whether another one may get the request.
--- a/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,6 +20,8 @@
 final class RequestLog {
     private static final Logger logger = LoggerFactory.getLogger(RequestLog.class);
 
+    private static final int MAX_LOGGED_PARTS = 16;
+
     private final @Nullable String attemptId;
     private final LongSupplier sends;
     private final LongSupplier configVersion;
@@ -56,8 +59,17 @@
         write(EventCode.REQUEST_REPEATED, "reason", reason, "target", target == null ? "none" : target.instanceId());
     }
 
-    void responseLost(Target target, String reason) {
-        write(EventCode.RESPONSE_LOST, "target", target.instanceId(), "reason", reason);
+    void responseLost(Target target, String reason, int events, List<String> promptParts) {
+        write(
+                EventCode.RESPONSE_LOST,
+                "target",
+                target.instanceId(),
+                "reason",
+                reason,
+                "events",
+                events,
+                "parts",
+                promptParts.stream().limit(MAX_LOGGED_PARTS).collect(Collectors.joining(",")));
     }
 
     void failed(ResultCode code, String detail) {
--- a/proxy/src/main/java/firwheel/proxy/server/RequestMetadata.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestMetadata.java
@@ -1,5 +1,6 @@
 package firwheel.proxy.server;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -11,6 +12,7 @@
  * @param promptTokens number of prompt tokens; 0 for plain requests
  * @param maxOutputTokens maximum number of output tokens; 0 for plain requests
  * @param lastEventId identifier of the last event that the client has received, or null
+ * @param promptParts identifiers of the parts of the prompt in order, the request's own part last; empty if not stated
  */
 public record RequestMetadata(
         @Nullable String attemptId,
@@ -18,7 +20,12 @@
         @Nullable String apiKey,
         int promptTokens,
         int maxOutputTokens,
-        @Nullable String lastEventId) {
+        @Nullable String lastEventId,
+        List<String> promptParts) {
+    public RequestMetadata {
+        promptParts = List.copyOf(promptParts);
+    }
+
     /** Returns the time for which the client will wait; one that states none is assumed to wait for the timeout. */
     long deadlineOr(long timeoutMillis) {
         return deadlineMillis > 0 ? deadlineMillis : timeoutMillis;
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -70,7 +70,7 @@
     private @Nullable ResponseHead head;
     private long sentNanos;
     private long stallTimer = -1;
-    private boolean eventSeen;
+    private int events;
     private boolean ended;
 
     TargetAttempt(
@@ -115,9 +115,9 @@
         }
     }
 
-    /** Returns whether the target has sent an event that continues the stream. */
-    boolean hasSentEvent() {
-        return eventSeen;
+    /** Returns how many events that continue the stream the target has sent. */
+    int events() {
+        return events;
     }
 
     /** Returns whether neither a complete response nor a failure has been reported. */
@@ -270,8 +270,8 @@
             return;
         }
         startStallTimer();
-        if (!eventSeen) {
-            eventSeen = true;
+        events++;
+        if (events == 1) {
             load.onSuccess(state.time.monotonicNanos(), elapsedMillis());
         }
         listener.onEvent(this, responseHead, event);
