Refuse requests with a part in their prompts that crashes targets

On a group each crash stops all ranks for some 5 s, so nearly nobody was served.

Cause: the only evidence that outlived a request was kept for whole requests (method, host, path, caller, body). No two requests with the part are alike, so none reached a second crash. Nothing read the parts of prompts.

Change: PartLedger keeps, for each part, the incarnations that crashed as they began to respond to a request with it, and clears it as soon as a target goes on past the first event of a response to any request with it, at any entry. The evidence is as strong as the number of different requests that the crashes are attributed to, so that a retry, or a whole request that crashes targets, does not accuse the parts that it shares with others. The request's own part, the last, is never suspected. Crashes that a refused part explains no longer count against whole requests. One entry tries a refused part again after 30 s and 5 minutes.

--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -27,6 +27,12 @@
     REQUEST_WAITED(212, Severity.INFO, "The wait of a request for a group has ended; the event says why."),
     RESPONSE_LOST(
             213, Severity.INFO, "A target will not deliver the complete response to a request; the event says why."),
+    PART_SUSPECTED(214, Severity.INFO, "A target crashed as it began to respond to a request with a part of a prompt."),
+    PART_QUARANTINED(
+            215, Severity.WARN, "Targets crashed under parts of a prompt; requests with all of them are refused."),
+    PART_CLEARED(216, Severity.INFO, "A target responded to a request with a part that was suspected."),
+    PART_TRIAL(217, Severity.INFO, "A request with refused parts is sent once to find out if targets crash."),
+    PART_EXPIRED(218, Severity.INFO, "A suspected part of a prompt was not seen for an hour and is forgotten."),
     TABLE_IN_FORCE(301, Severity.INFO, "A table revision is in force on this host."),
     TABLE_REJECTED(302, Severity.ERROR, "Rows in the store fail the checks; the last good revision stays in force."),
     TABLE_OLDER(303, Severity.WARN, "An older table revision was offered and ignored."),
--- a/model/src/main/java/firwheel/model/ResultCode.java
+++ b/model/src/main/java/firwheel/model/ResultCode.java
@@ -41,6 +41,12 @@
     TARGET_REFUSED(2014, Outcome.NOT_RUN, 503, "The engine refused the request before running it.", "Retry later."),
     CANCELLED_BEFORE_RUN(2015, Outcome.NOT_RUN, 499, "The caller left before the request ran.", "None."),
     CRASHES_TARGETS(2016, Outcome.NOT_RUN, 503, "Targets crashed while they ran this request.", "Change the request."),
+    PROMPT_CRASHES_TARGETS(
+            2017,
+            Outcome.NOT_RUN,
+            503,
+            "Targets crashed as they began to respond to requests with a part of this prompt.",
+            "Change the prompt."),
 
     OUTCOME_UNKNOWN(3001, Outcome.UNKNOWN, 502, "The target was lost after dispatch.", "Check before repeating."),
     RECORD_EVICTED(3002, Outcome.UNKNOWN, 502, "The target no longer knows the attempt.", "Check before repeating."),
--- a/proxy/src/main/java/firwheel/proxy/crash/CrashDetector.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/CrashDetector.java
@@ -21,25 +21,25 @@
     private static final int MAX_REQUESTS_PER_TARGET = 64;
 
     private final TimeSource time;
-    private final BiConsumer<RequestFingerprint, Target.Key> onCrash;
+    private final BiConsumer<Suspect, Target.Key> onCrash;
     private final Map<Target.Key, Incidents> incidents = new LinkedHashMap<>();
 
     private static final class Incidents {
-        private final Set<RequestFingerprint> lost = new LinkedHashSet<>();
-        private final Set<RequestFingerprint> silent = new LinkedHashSet<>();
+        private final Set<Suspect> lost = new LinkedHashSet<>();
+        private final Set<Suspect> silent = new LinkedHashSet<>();
         private boolean ended;
         private boolean restarted;
         private long updatedNanos;
     }
 
     /** Creates a detector that reports each request and the target that crashed while running it. */
-    public CrashDetector(TimeSource time, BiConsumer<RequestFingerprint, Target.Key> onCrash) {
+    public CrashDetector(TimeSource time, BiConsumer<Suspect, Target.Key> onCrash) {
         this.time = time;
         this.onCrash = onCrash;
     }
 
     /** Records that the connection to the target ended before its response to the request was complete. */
-    public void onResponseLost(RequestFingerprint request, Target.Key target) {
+    public void onResponseLost(Suspect request, Target.Key target) {
         Incidents known = at(target);
         if (known.ended) {
             onCrash.accept(request, target);
@@ -49,7 +49,7 @@
     }
 
     /** Records that this entry gave up waiting for the target's response to the request. */
-    public void onResponseAbandoned(RequestFingerprint request, Target.Key target) {
+    public void onResponseAbandoned(Suspect request, Target.Key target) {
         Incidents known = at(target);
         if (known.restarted) {
             onCrash.accept(request, target);
@@ -67,7 +67,7 @@
         Incidents known = at(target);
         known.ended = true;
         known.restarted |= restarted;
-        Set<RequestFingerprint> crashing = new LinkedHashSet<>(known.lost);
+        Set<Suspect> crashing = new LinkedHashSet<>(known.lost);
         known.lost.clear();
         if (restarted) {
             crashing.addAll(known.silent);
--- a/proxy/src/main/java/firwheel/proxy/crash/CrashLedger.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/CrashLedger.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Crashes of targets under each request, merged from all entries, and the decision which requests to refuse. Merging
@@ -23,7 +24,7 @@
  *   <li>after four in any case.
  * </ul>
  *
- * A complete response clears a request. One that is refused gets another chance after a time, until it has crashed four
+ * Crashes with another known cause do not count. A complete response clears a request. One that is refused gets another chance after a time, until it has crashed four
  * targets.
  */
 public final class CrashLedger {
@@ -47,10 +48,11 @@
     private static final int MAX_CRASHES_PER_REQUEST = 8;
 
     private final TimeSource time;
+    private final Predicate<Target.Key> explained;
     private final Map<RequestFingerprint, Evidence> evidence = new LinkedHashMap<>();
     private int nextReport;
 
-    private static final class Evidence {
+    private final class Evidence {
         /** Incarnations that crashed, and whether the request was cleared of it. */
         private final Map<Target.Key, Boolean> crashes = new LinkedHashMap<>();
 
@@ -58,17 +60,27 @@
         private long lastCrashNanos;
 
         int count() {
-            return (int) crashes.values().stream().filter(cleared -> !cleared).count();
+            return (int) crashes.keySet().stream().filter(this::counts).count();
         }
 
         boolean counts(Target.Key target) {
-            return Boolean.FALSE.equals(crashes.get(target));
+            return Boolean.FALSE.equals(crashes.get(target)) && !explained.test(target);
         }
     }
 
     /** Creates an empty ledger. */
     public CrashLedger(TimeSource time) {
+        this(time, target -> false);
+    }
+
+    /**
+     * Creates an empty ledger.
+     *
+     * @param explained whether the crash of a target has a known cause that is not a single request
+     */
+    public CrashLedger(TimeSource time, Predicate<Target.Key> explained) {
         this.time = time;
+        this.explained = explained;
     }
 
     /** Returns whether nothing is known of any request, so that no fingerprint needs to be computed. */
--- /dev/null
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartReport.java
@@ -0,0 +1,16 @@
+package firwheel.proxy.crash;
+
+import firwheel.proxy.targets.Target;
+import java.time.Duration;
+
+/**
+ * Evidence that a target crashed as it began to respond to a request with a part of a prompt, as exchanged between
+ * entries.
+ *
+ * @param target incarnation that crashed
+ * @param request request that was running
+ * @param cleared whether a target has responded to a request with the part since
+ * @param lastSeenAge time since a request with the part was last seen at an entry
+ */
+public record PartReport(
+        PromptPart part, Target.Key target, RequestFingerprint request, boolean cleared, Duration lastSeenAge) {}
--- a/proxy/src/main/java/firwheel/proxy/server/CrashGuard.java
+++ b/proxy/src/main/java/firwheel/proxy/server/CrashGuard.java
@@ -8,6 +8,7 @@
 import firwheel.proxy.crash.CrashLedger.Verdict;
 import firwheel.proxy.crash.CrashReport;
 import firwheel.proxy.crash.RequestFingerprint;
+import firwheel.proxy.crash.Suspect;
 import firwheel.proxy.targets.Target;
 import java.time.Duration;
 import java.util.List;
@@ -26,11 +27,13 @@
 
     private final CrashLedger ledger;
     private final CrashDetector detector;
+    private final PartGuard parts;
     private Consumer<List<CrashReport>> reporter = reports -> {};
-    private Predicate<RequestFingerprint> trialOwner = request -> true;
+    private Predicate<String> trialOwner = key -> true;
 
-    CrashGuard(TimeSource time) {
-        ledger = new CrashLedger(time);
+    CrashGuard(TimeSource time, PartGuard parts) {
+        this.parts = parts;
+        ledger = new CrashLedger(time, parts::explains);
         detector = new CrashDetector(time, this::onCrash);
     }
 
@@ -39,8 +42,8 @@
         this.reporter = reporter;
     }
 
-    /** Sets which refused requests this entry may try again, so that only one entry tries each. */
-    void setTrialOwner(Predicate<RequestFingerprint> trialOwner) {
+    /** Sets which refused requests this entry may try again, by their key, so that only one entry tries each. */
+    void setTrialOwner(Predicate<String> trialOwner) {
         this.trialOwner = trialOwner;
     }
 
@@ -55,18 +58,18 @@
 
     /** Returns whether a refused request may be sent once more by this entry. */
     boolean tryBeginTrial(RequestFingerprint request) {
-        boolean granted = trialOwner.test(request) && ledger.tryBeginTrial(request);
+        boolean granted = trialOwner.test(request.value()) && ledger.tryBeginTrial(request);
         if (granted) {
             log(EventCode.REQUEST_TRIAL, request, "crashes", ledger.crashes(request));
         }
         return granted;
     }
 
-    void onResponseLost(RequestFingerprint request, Target target) {
+    void onResponseLost(Suspect request, Target target) {
         detector.onResponseLost(request, target.key());
     }
 
-    void onResponseAbandoned(RequestFingerprint request, Target target) {
+    void onResponseAbandoned(Suspect request, Target target) {
         detector.onResponseAbandoned(request, target.key());
     }
 
@@ -113,7 +116,9 @@
         ledger.removeExpired().forEach(request -> log(EventCode.SUSPICION_EXPIRED, request));
     }
 
-    private void onCrash(RequestFingerprint request, Target.Key target) {
+    private void onCrash(Suspect suspect, Target.Key target) {
+        parts.onCrash(suspect, target);
+        RequestFingerprint request = suspect.request();
         Verdict before = ledger.judge(request);
         if (ledger.recordCrash(request, target)) {
             logCrash(request, target, before, "response", Duration.ZERO);
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyMetrics.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyMetrics.java
@@ -57,12 +57,23 @@
         return registry;
     }
 
-    void register(TargetConnectionPool connections, TargetDirectory directory, CrashGuard crashGuard) {
+    void register(
+            TargetConnectionPool connections, TargetDirectory directory, CrashGuard crashGuard, PartGuard partGuard) {
         GaugeWithCallback.builder()
                 .name("firwheel_requests_suspected")
                 .help("Requests under which targets have crashed, until they are cleared or forgotten.")
                 .callback(callback -> callback.call(crashGuard.suspectedRequests()))
                 .register(registry);
+        GaugeWithCallback.builder()
+                .name("firwheel_prompt_parts_suspected")
+                .help("Parts of prompts under which targets have crashed, until they are cleared or forgotten.")
+                .callback(callback -> callback.call(partGuard.suspectedParts()))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("firwheel_prompt_parts_refused")
+                .help("Parts of prompts, alone or together, for which requests are refused.")
+                .callback(callback -> callback.call(partGuard.refusals()))
+                .register(registry);
         CounterWithCallback.builder()
                 .name("firwheel_target_connections_opened")
                 .help("Connections opened to targets.")
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -13,7 +13,7 @@
 import firwheel.proxy.config.RoutingConfig;
 import firwheel.proxy.config.ServiceConfig;
 import firwheel.proxy.crash.CrashReport;
-import firwheel.proxy.crash.RequestFingerprint;
+import firwheel.proxy.crash.PartReport;
 import firwheel.proxy.targets.GroupMembership;
 import firwheel.proxy.targets.Target;
 import firwheel.proxy.targets.TargetDirectory;
@@ -102,7 +102,7 @@
                 new ProxyMetrics(),
                 random,
                 retryBudgetFactory);
-        state.metrics.register(connections, directory, state.crashGuard);
+        state.metrics.register(connections, directory, state.crashGuard, state.partGuard);
         vertx.setPeriodic(MAINTENANCE_INTERVAL_MILLIS, id -> runMaintenance());
     }
 
@@ -178,9 +178,25 @@
         state.crashGuard.setReporter(reporter);
     }
 
-    /** Sets which requests that crash their targets this entry may try again. */
-    public void setTrialOwner(Predicate<RequestFingerprint> trialOwner) {
+    /** Sets which requests and parts of prompts that crash targets this entry may try again, by their keys. */
+    public void setTrialOwner(Predicate<String> trialOwner) {
         state.crashGuard.setTrialOwner(trialOwner);
+        state.partGuard.setTrialOwner(trialOwner);
+    }
+
+    /** Sets the receiver of what this entry newly knows of parts of prompts that crash targets. */
+    public void onPartReports(Consumer<List<PartReport>> reporter) {
+        state.partGuard.setReporter(reporter);
+    }
+
+    /** Returns up to {@code max} reports of parts of prompts to repeat to a peer, other ones each time. */
+    public List<PartReport> nextPartReports(int max) {
+        return state.partGuard.nextReports(max);
+    }
+
+    /** Records what another entry knows of a part of a prompt that crashes targets. */
+    public void onPeerPartReport(PartReport report) {
+        state.partGuard.onPeerReport(report);
     }
 
     /** Returns up to {@code max} reports of crashes to repeat to a peer, other ones each time. */
@@ -323,6 +339,7 @@
         state.connections.closeExpired();
         state.targetSelector.removeRetired();
         state.crashGuard.removeExpired();
+        state.partGuard.removeExpired();
         RoutingConfig config = state.config();
         if (config != null) {
             closeIdleClients(
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -35,6 +35,7 @@
     final DoubleSupplier random;
     final RetryAfterPolicy retryAfterPolicy;
     final CrashGuard crashGuard;
+    final PartGuard partGuard;
     final GroupWait groupWait;
     private final Map<Target.Key, Future<TargetConnectionPool.Reachability>> probes = new HashMap<>();
     private final Supplier<RetryBudget> retryBudgetFactory;
@@ -61,7 +62,8 @@
         this.connections = connections;
         this.metrics = metrics;
         this.random = random;
-        crashGuard = new CrashGuard(time);
+        partGuard = new PartGuard(time);
+        crashGuard = new CrashGuard(time, partGuard);
         groupWait = new GroupWait(vertx, time, targetSelector, WaitPolicy.ofReturnedCallers(), metrics);
         retryAfterPolicy = new RetryAfterPolicy(random);
         this.retryBudgetFactory = retryBudgetFactory;
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -86,9 +86,9 @@
             return;
         }
         route = matchedRoute;
-        suspicion.onArrival();
         returned = state.groupWait.onArrival(matchedRoute, metadata.deadlineMillis());
         service = matchedRoute.selectService(state.random.getAsDouble());
+        suspicion.onArrival(service, metadata.promptParts());
         state.retryBudget(service).onRequest();
         long allowedMillis = Math.min(metadata.deadlineOr(matchedRoute.timeoutMillis()), matchedRoute.timeoutMillis());
         deadlineNanos = arrivedNanos + allowedMillis * NANOS_PER_MILLI;
@@ -146,11 +146,18 @@
         if (!suspicion.isRefused(executions.sends())) {
             return false;
         }
-        fail(
-                ResultCode.CRASHES_TARGETS,
-                "targets crashed while they ran request "
-                        + suspicion.fingerprint().value(),
-                Reason.CRASHES_TARGETS);
+        if (suspicion.isRefusedForParts(executions.sends())) {
+            fail(
+                    ResultCode.PROMPT_CRASHES_TARGETS,
+                    "targets crashed as they began to respond to requests with parts " + suspicion.refusedParts(),
+                    Reason.CRASHES_TARGETS);
+        } else {
+            fail(
+                    ResultCode.CRASHES_TARGETS,
+                    "targets crashed while they ran request "
+                            + suspicion.fingerprint().value(),
+                    Reason.CRASHES_TARGETS);
+        }
         return true;
     }
 
@@ -320,7 +327,7 @@
     /** Cancels an attempt whose response is no longer wanted, which its target may owe because it has crashed. */
     private void abandon(TargetAttempt attempt) {
         if (attempt.isPending()) {
-            suspicion.onResponseAbandoned(attempt.target());
+            suspicion.onResponseAbandoned(attempt);
             attempt.cancel();
         }
     }
@@ -388,6 +395,9 @@
             clientResponse.startStream(head);
         }
         recordChunk();
+        if (attempt.responding()) {
+            suspicion.onResponding();
+        }
         if (event.id() != null) {
             lastEventId = event.id();
         }
@@ -453,7 +463,7 @@
 
     @Override
     public void onConnectionLost(TargetAttempt attempt) {
-        suspicion.onConnectionLost(attempt.target());
+        suspicion.onConnectionLost(attempt);
     }
 
     @Override
--- a/proxy/src/main/java/firwheel/proxy/server/RequestSuspicion.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestSuspicion.java
@@ -1,24 +1,32 @@
 package firwheel.proxy.server;
 
 import firwheel.proxy.balance.TargetLoad;
-import firwheel.proxy.crash.CrashLedger.Verdict;
+import firwheel.proxy.crash.CrashLedger;
+import firwheel.proxy.crash.PartLedger;
+import firwheel.proxy.crash.PromptPart;
 import firwheel.proxy.crash.RequestFingerprint;
+import firwheel.proxy.crash.Suspect;
 import firwheel.proxy.targets.Target;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Whether targets crash under one request, and what follows for it: it is refused, or goes to a target without another
- * suspected request.
+ * Whether targets crash under one request or under a part of its prompt, and what follows for it: it is refused, or goes
+ * to a target without another suspected request.
  */
 final class RequestSuspicion {
     private final ProxyState state;
     private final Supplier<RequestFingerprint> fingerprintFactory;
+    private Set<PromptPart> parts = Set.of();
+    private Set<PromptPart> sharedParts = Set.of();
     private @Nullable RequestFingerprint fingerprint;
     private @Nullable TargetLoad currentLoad;
     private boolean connectionLost;
-    private boolean trial;
+    private boolean requestTrial;
+    private boolean partTrial;
 
     /** Creates the suspicion of a request whose fingerprint is computed only if it is needed. */
     RequestSuspicion(ProxyState state, Supplier<RequestFingerprint> fingerprintFactory) {
@@ -35,19 +43,40 @@
         return known;
     }
 
-    /** Decides on the arrival of a refused request whether it may be sent once. */
-    void onArrival() {
-        trial = judge() == Verdict.REFUSED && state.crashGuard.tryBeginTrial(fingerprint());
+    /**
+     * Decides on the arrival of a refused request whether it may be sent once.
+     *
+     * @param promptParts identifiers of the parts of its prompt; the last one is its own
+     */
+    void onArrival(String service, List<String> promptParts) {
+        parts = parts(service, promptParts);
+        sharedParts = parts(service, promptParts.subList(0, Math.max(0, promptParts.size() - 1)));
+        requestTrial = isRequestRefused() && state.crashGuard.tryBeginTrial(fingerprint());
+        partTrial = arePartsRefused() && state.partGuard.tryBeginTrial(sharedParts);
+    }
+
+    private static Set<PromptPart> parts(String service, List<String> ids) {
+        return ids.stream().map(id -> new PromptPart(service, id)).collect(Collectors.toUnmodifiableSet());
     }
 
     /** Returns whether the request must not be sent to a target, after it has been sent {@code sends} times. */
     boolean isRefused(int sends) {
-        return judge() == Verdict.REFUSED && !(trial && sends == 0);
+        return (isRequestRefused() && !(requestTrial && sends == 0)) || isRefusedForParts(sends);
+    }
+
+    /** Returns whether parts of its prompt are a reason why it must not be sent. */
+    boolean isRefusedForParts(int sends) {
+        return arePartsRefused() && !(partTrial && sends == 0);
     }
 
-    /** Returns whether a target is known to have crashed under the request. */
+    /** Returns the parts for which the request is refused, as they appear in logs. */
+    String refusedParts() {
+        return state.partGuard.refusedParts(sharedParts);
+    }
+
+    /** Returns whether a target is known to have crashed under the request or a part of its prompt. */
     boolean isSuspected() {
-        return judge() != Verdict.UNSUSPECTED;
+        return isRequestSuspected() || state.partGuard.judge(sharedParts) != PartLedger.Verdict.UNSUSPECTED;
     }
 
     /** Returns whether a connection ended before the response to this request was complete. */
@@ -59,7 +88,7 @@
     @Nullable
     Target selectTarget(String service, Set<Target.Key> tried) {
         release();
-        if (!connectionLost && !isSuspected()) {
+        if (!connectionLost && !isRequestSuspected()) {
             return state.targetSelector.select(service, tried);
         }
         Target target = state.targetSelector.selectForSuspect(service, tried);
@@ -78,21 +107,39 @@
         }
     }
 
-    void onConnectionLost(Target target) {
+    void onConnectionLost(TargetAttempt attempt) {
         connectionLost = true;
-        state.crashGuard.onResponseLost(fingerprint(), target);
+        state.crashGuard.onResponseLost(suspect(attempt), attempt.target());
+    }
+
+    void onResponseAbandoned(TargetAttempt attempt) {
+        state.crashGuard.onResponseAbandoned(suspect(attempt), attempt.target());
     }
 
-    void onResponseAbandoned(Target target) {
-        state.crashGuard.onResponseAbandoned(fingerprint(), target);
+    /** Records that a target goes on with its response, which shows that no part of the prompt crashes it. */
+    void onResponding() {
+        state.partGuard.onResponding(parts);
     }
 
     /** Records that a target responded completely and with success. */
     void onAnswered() {
         state.crashGuard.onAnswered(this::fingerprint);
+        onResponding();
+    }
+
+    private Suspect suspect(TargetAttempt attempt) {
+        return new Suspect(fingerprint(), attempt.responding() ? Set.of() : sharedParts);
+    }
+
+    private boolean isRequestSuspected() {
+        return state.crashGuard.judge(this::fingerprint) != CrashLedger.Verdict.UNSUSPECTED;
+    }
+
+    private boolean isRequestRefused() {
+        return state.crashGuard.judge(this::fingerprint) == CrashLedger.Verdict.REFUSED;
     }
 
-    private Verdict judge() {
-        return state.crashGuard.judge(this::fingerprint);
+    private boolean arePartsRefused() {
+        return state.partGuard.judge(sharedParts) == PartLedger.Verdict.REFUSED;
     }
 }
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -120,6 +120,14 @@
         return events;
     }
 
+    /**
+     * Returns whether the target has gone on after the first event of its response. One that crashes as it begins to
+     * respond may still have sent that.
+     */
+    boolean responding() {
+        return events > 1;
+    }
+
     /** Returns whether neither a complete response nor a failure has been reported. */
     boolean isPending() {
         return !ended;
--- a/proxy/src/test/java/firwheel/proxy/crash/CrashDetectorTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/CrashDetectorTest.java
@@ -8,16 +8,21 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 final class CrashDetectorTest {
     private static final Target.Key TARGET = new Target.Key("i-1", 1);
-    private static final RequestFingerprint REQUEST = new RequestFingerprint("request");
+    private static final Suspect REQUEST = suspect("request");
 
     private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
-    private final List<RequestFingerprint> crashing = new ArrayList<>();
+    private final List<Suspect> crashing = new ArrayList<>();
     private final CrashDetector detector = new CrashDetector(time, (request, target) -> crashing.add(request));
 
+    private static Suspect suspect(String fingerprint) {
+        return new Suspect(new RequestFingerprint(fingerprint), Set.of());
+    }
+
     @Test
     void reportsNothingWhenConnectionsAreResetAndTheTargetGoesOn() {
         detector.onResponseLost(REQUEST, TARGET);
@@ -27,7 +32,7 @@
 
     @Test
     void reportsALostResponseAndTheEndOfTheTargetInEitherOrder() {
-        RequestFingerprint later = new RequestFingerprint("later");
+        Suspect later = suspect("later");
         detector.onResponseLost(REQUEST, TARGET);
         detector.onTargetEnded(TARGET, false);
         detector.onResponseLost(later, TARGET);
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -104,6 +104,32 @@
         public static final int MAX_REPORTS = 6;
     }
 
+    /**
+     * Evidence that a target crashed as it began to respond to a request with a part of a prompt.
+     *
+     * @param service service to which the request was sent
+     * @param part identifier of the part
+     * @param request fingerprint of the request, in hexadecimal
+     * @param instanceId identifier of the target
+     * @param startedMillis start time of the target in Unix milliseconds
+     * @param cleared whether a target has responded to a request with the part since
+     * @param seenMillisAgo time since the part was last seen at an entry
+     */
+    record PartReport(
+            String service,
+            String part,
+            String request,
+            String instanceId,
+            long startedMillis,
+            boolean cleared,
+            long seenMillisAgo) {}
+
+    /** Some of the evidence that the sender has of parts of prompts that crash targets. */
+    record PartReports(List<PartReport> reports) implements MeshMessage {
+        /** Reports that fit into one datagram with identifiers of the longest length allowed. */
+        public static final int MAX_REPORTS = 5;
+    }
+
     /**
      * Answer of the store to the sender, with the state that the sender has read from it.
      *
--- a/wire/src/main/java/firwheel/wire/MessageType.java
+++ b/wire/src/main/java/firwheel/wire/MessageType.java
@@ -33,7 +33,8 @@
     ZONE_RELAY(52, MeshMessage.ZoneRelay.class),
     TARGET_STATEMENT(53, MeshMessage.TargetStatement.class),
     CRASH_REPORTS(54, MeshMessage.CrashReports.class),
-    STORE_NEWS(55, MeshMessage.StoreNews.class);
+    STORE_NEWS(55, MeshMessage.StoreNews.class),
+    PART_REPORTS(56, MeshMessage.PartReports.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER =
             Arrays.stream(values()).collect(Collectors.toMap(type -> type.number, Function.identity()));
