Count responses that the caller gave up as evidence of crashes

Cause: callers leave when no event has come for two seconds, which is the usual case while a group forms again. Their requests are abandoned, not lost, and an abandoned response counted only if a new incarnation registered under the same identifier. On the users' platform it has another identifier. No line of the log said that a caller had left.

Change: the detector distinguishes how the end of a target is known. If it refuses connections, or another entry reports its crash, responses abandoned within the last second count. A later incarnation at the same address proves the end, whatever its identifier (RetiredTargets).

Evidence: CrashDetectorTest.reportsAResponseAbandonedJustBeforeTheTarget- RefusedConnections, RetiredTargetsTest.

--- a/proxy/src/main/java/firwheel/proxy/server/CrashGuard.java
+++ b/proxy/src/main/java/firwheel/proxy/server/CrashGuard.java
@@ -73,8 +73,8 @@
         detector.onResponseAbandoned(request, target.key());
     }
 
-    void onTargetEnded(Target target, boolean restarted) {
-        detector.onTargetEnded(target.key(), restarted);
+    void onTargetEnded(Target.Key target, CrashDetector.End end) {
+        detector.onTargetEnded(target, end);
     }
 
     /** Records that a target responded completely and with success. */
@@ -99,6 +99,7 @@
             log(EventCode.REQUEST_CLEARED, report.request(), "crashes", 1, "source", "peer");
         } else {
             logCrash(report.request(), report.target(), before, "peer", report.lastSeenAge());
+            onTargetEnded(report.target(), CrashDetector.End.OBSERVED);
         }
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -12,6 +12,7 @@
 import firwheel.proxy.config.EngineConfig;
 import firwheel.proxy.config.RoutingConfig;
 import firwheel.proxy.config.ServiceConfig;
+import firwheel.proxy.crash.CrashDetector;
 import firwheel.proxy.crash.CrashReport;
 import firwheel.proxy.crash.PartReport;
 import firwheel.proxy.targets.GroupMembership;
@@ -87,9 +88,17 @@
             Supplier<RetryBudget> retryBudgetFactory) {
         this.vertx = vertx;
         TargetConnectionPool connections = new TargetConnectionPool(vertx, time);
-        TargetDirectory directory = new TargetDirectory(target -> {
-            connections.closeIdleConnections(target);
-            onTargetRetired(target);
+        TargetDirectory directory = new TargetDirectory(new TargetDirectory.Listener() {
+            @Override
+            public void onRetired(Target target) {
+                connections.closeIdleConnections(target);
+                onTargetRetired(target);
+            }
+
+            @Override
+            public void onRegistered(Target target) {
+                onTargetRegistered(target);
+            }
         });
         TargetSelector targetSelector = new TargetSelector(directory, localZone, time, random);
         state = new ProxyState(
@@ -197,6 +206,9 @@
     /** Records what another entry knows of a part of a prompt that crashes targets. */
     public void onPeerPartReport(PartReport report) {
         state.partGuard.onPeerReport(report);
+        if (!report.cleared()) {
+            state.crashGuard.onTargetEnded(report.target(), CrashDetector.End.OBSERVED);
+        }
     }
 
     /** Returns up to {@code max} reports of crashes to repeat to a peer, other ones each time. */
@@ -260,6 +272,10 @@
         state.onTargetRetired(target);
     }
 
+    private void onTargetRegistered(Target target) {
+        state.onTargetRegistered(target);
+    }
+
     private void onConnection(HttpConnection connection) {
         if (gracePeriodEnded) {
             // Nothing was read, so the client can safely send the request to another entry.
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -9,6 +9,8 @@
 import firwheel.proxy.balance.TargetSelector;
 import firwheel.proxy.balance.WaitPolicy;
 import firwheel.proxy.config.RoutingConfig;
+import firwheel.proxy.crash.CrashDetector.End;
+import firwheel.proxy.targets.RetiredTargets;
 import firwheel.proxy.targets.Target;
 import firwheel.proxy.targets.TargetDirectory;
 import io.vertx.core.Future;
@@ -37,6 +39,7 @@
     final CrashGuard crashGuard;
     final PartGuard partGuard;
     final GroupWait groupWait;
+    private final RetiredTargets retiredTargets = new RetiredTargets();
     private final Map<Target.Key, Future<TargetConnectionPool.Reachability>> probes = new HashMap<>();
     private final Supplier<RetryBudget> retryBudgetFactory;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
@@ -116,7 +119,7 @@
     /** Records that no process listens at the address of a target. */
     void onConnectionRefused(Target target) {
         if (!directory.isLeaving(target.key())) {
-            crashGuard.onTargetEnded(target, false);
+            crashGuard.onTargetEnded(target.key(), End.OBSERVED);
         }
     }
 
@@ -124,7 +127,19 @@
     void onTargetRetired(Target target) {
         if (!directory.isLeaving(target.key())) {
             Target current = directory.find(target.instanceId());
-            crashGuard.onTargetEnded(target, current != null && !current.key().equals(target.key()));
+            Target successor = directory.findByAddress(target.ip(), target.port());
+            boolean restarted = (current != null && !current.key().equals(target.key()))
+                    || (successor != null && RetiredTargets.succeeds(successor, target));
+            crashGuard.onTargetEnded(target.key(), restarted ? End.RESTARTED : End.UNLISTED);
+            retiredTargets.add(target);
+        }
+    }
+
+    /** Records that an incarnation of a target has registered. */
+    void onTargetRegistered(Target target) {
+        Target predecessor = retiredTargets.removePredecessor(target);
+        if (predecessor != null) {
+            crashGuard.onTargetEnded(predecessor.key(), End.RESTARTED);
         }
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -102,9 +102,10 @@
             end();
             return;
         }
+        TargetAttempt attempt = currentAttempt;
+        log.callerLeft(attempt, metadata.promptParts());
         finish("caller left");
         end();
-        TargetAttempt attempt = currentAttempt;
         if (attempt != null && !(route != null && route.kind() == RequestKind.AT_MOST_ONCE)) {
             abandon(attempt);
         }
--- a/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
@@ -69,7 +69,22 @@
                 "events",
                 events,
                 "parts",
-                promptParts.stream().limit(MAX_LOGGED_PARTS).collect(Collectors.joining(",")));
+                loggedParts(promptParts));
+    }
+
+    void callerLeft(@Nullable TargetAttempt attempt, List<String> promptParts) {
+        write(
+                EventCode.CALLER_LEFT,
+                "target",
+                attempt == null ? "none" : attempt.target().instanceId(),
+                "events",
+                attempt == null ? 0 : attempt.events(),
+                "parts",
+                loggedParts(promptParts));
+    }
+
+    private static String loggedParts(List<String> promptParts) {
+        return promptParts.stream().limit(MAX_LOGGED_PARTS).collect(Collectors.joining(","));
     }
 
     void failed(ResultCode code, String detail) {
--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -16,11 +16,14 @@
 
 /** All registered targets, by service. Not thread-safe: confined to the event loop that routes requests. */
 public final class TargetDirectory {
-    /** Is notified of targets that must receive no new requests. */
+    /** Is notified of targets that are listed and of those that must receive no new requests. */
     @FunctionalInterface
-    public interface RetirementListener {
+    public interface Listener {
         /** Called when an incarnation of a target drains, leaves, is removed or replaced, and is no longer listed. */
         void onRetired(Target target);
+
+        /** Called when an incarnation of a target has registered. */
+        default void onRegistered(Target target) {}
     }
 
     // Incarnations that leave are remembered after their registration is gone, since an old one may come back.
@@ -32,11 +35,11 @@
     private final Set<Target.Key> replaced = newBoundedSet();
     private final AddressClaims claims = new AddressClaims();
     private Map<String, List<Target>> servingByService = Map.of();
-    private final RetirementListener retirementListener;
+    private final Listener listener;
 
     /** Creates an empty directory. */
-    public TargetDirectory(RetirementListener retirementListener) {
-        this.retirementListener = retirementListener;
+    public TargetDirectory(Listener listener) {
+        this.listener = listener;
     }
 
     static Set<Target.Key> newBoundedSet() {
@@ -64,7 +67,10 @@
         Target previous = byId.put(target.instanceId(), target);
         rebuildIndex();
         if (previous != null && (target.draining() || !previous.key().equals(target.key()))) {
-            retirementListener.onRetired(previous);
+            listener.onRetired(previous);
+        }
+        if (previous == null || !previous.key().equals(target.key())) {
+            listener.onRegistered(target);
         }
     }
 
@@ -123,7 +129,7 @@
         Target previous = byId.remove(instanceId);
         if (previous != null) {
             rebuildIndex();
-            retirementListener.onRetired(previous);
+            listener.onRetired(previous);
         }
     }
 
@@ -138,7 +144,7 @@
         Target registered = byId.get(key.instanceId());
         if (registered != null && registered.key().equals(key)) {
             rebuildIndex();
-            retirementListener.onRetired(registered);
+            listener.onRetired(registered);
         }
         return true;
     }
--- a/proxy/src/test/java/firwheel/proxy/crash/CrashDetectorTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/CrashDetectorTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import firwheel.model.ManualTimeSource;
+import firwheel.proxy.crash.CrashDetector.End;
 import firwheel.proxy.targets.Target;
 import java.time.Duration;
 import java.time.Instant;
@@ -34,7 +35,7 @@
     void reportsALostResponseAndTheEndOfTheTargetInEitherOrder() {
         Suspect later = suspect("later");
         detector.onResponseLost(REQUEST, TARGET);
-        detector.onTargetEnded(TARGET, false);
+        detector.onTargetEnded(TARGET, End.UNLISTED);
         detector.onResponseLost(later, TARGET);
 
         assertThat(crashing).containsExactly(REQUEST, later);
@@ -43,10 +44,23 @@
     @Test
     void reportsAnAbandonedResponseOnlyWhenTheTargetWasStartedAgain() {
         detector.onResponseAbandoned(REQUEST, TARGET);
-        detector.onTargetEnded(TARGET, false);
+        detector.onTargetEnded(TARGET, End.UNLISTED);
         assertThat(crashing).isEmpty();
 
-        detector.onTargetEnded(TARGET, true);
+        detector.onTargetEnded(TARGET, End.RESTARTED);
+
+        assertThat(crashing).containsExactly(REQUEST);
+    }
+
+    @Test
+    void reportsAResponseAbandonedJustBeforeTheTargetRefusedConnections() {
+        Suspect earlier = suspect("earlier");
+        detector.onResponseAbandoned(earlier, TARGET);
+        time.advance(Duration.ofSeconds(2));
+        detector.onResponseAbandoned(REQUEST, TARGET);
+        time.advance(Duration.ofMillis(500));
+
+        detector.onTargetEnded(TARGET, End.OBSERVED);
 
         assertThat(crashing).containsExactly(REQUEST);
     }
@@ -55,7 +69,7 @@
     void connectsNoLossWithTheEndOfTheTargetLongAfter() {
         detector.onResponseLost(REQUEST, TARGET);
         time.advance(Duration.ofMinutes(1));
-        detector.onTargetEnded(TARGET, true);
+        detector.onTargetEnded(TARGET, End.RESTARTED);
 
         assertThat(crashing).isEmpty();
     }
