Answer requests that do not end before a stopped entry does

An entry takes requests for 2.5 s after SIGTERM with their full deadline, and a request whose head came before that and whose body came after at any time. The limit of the drain was the grace period times 0.95 plus 5 s, so that SIGKILL always came first: a request that had 8 s left at 2.5 s was cut at 8 s.

With a grace period under 5 s new requests are taken for half of the limit at most.

--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -247,9 +247,10 @@
 
     /**
      * Shuts down gracefully: serves new requests as long as the load balancer may still send connections, then accepts
-     * no more, and completes once the last active request has ended.
+     * no more, and completes once the last active request has ended. Requests that are still active after
+     * {@code limit} are ended with an error response.
      */
-    public CompletableFuture<Void> drain() {
+    public CompletableFuture<Void> drain(Duration limit) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         Events.log(
                 logger,
@@ -260,14 +261,25 @@
                 clientConnections.size());
         state.startDraining();
         drainFuture = done;
-        vertx.setTimer(DRAIN_GRACE_PERIOD.toMillis(), id -> {
+        Duration halfOfLimit = limit.dividedBy(2);
+        Duration gracePeriod = halfOfLimit.compareTo(DRAIN_GRACE_PERIOD) < 0 ? halfOfLimit : DRAIN_GRACE_PERIOD;
+        vertx.setTimer(Math.max(1, gracePeriod.toMillis()), id -> {
             gracePeriodEnded = true;
             closeIdleClients(0);
             completeDrain();
         });
+        vertx.setTimer(Math.max(1, limit.toMillis()), id -> endActiveRequests());
         return done;
     }
 
+    /** Answers requests that do not end before the process does, so that their clients need not wait for its end. */
+    private void endActiveRequests() {
+        if (!activeRequests.isEmpty()) {
+            Events.log(logger, EventCode.DRAIN_CUT, "running", activeRequests.size());
+            List.copyOf(activeRequests).forEach(RequestHandler::onDrainLimit);
+        }
+    }
+
     private void onTargetRetired(Target target) {
         state.onTargetRetired(target);
     }
@@ -301,8 +313,7 @@
         activeRequests.add(handler);
         state.metrics.setInFlight(activeRequests.size());
         if (gracePeriodEnded) {
-            handler.reject(ErrorResponse.of(
-                    ResultCode.DRAINING, "request arrived after the drain grace period", Duration.ZERO));
+            rejectDraining(handler);
             return;
         }
         request.response().closeHandler(ignored -> handler.onClientDisconnected());
@@ -311,6 +322,11 @@
         readBody(request, handler);
     }
 
+    private static void rejectDraining(RequestHandler handler) {
+        handler.reject(ErrorResponse.of(
+                ResultCode.DRAINING, "request was complete after the drain grace period", Duration.ZERO));
+    }
+
     private void readBody(HttpServerRequest request, RequestHandler handler) {
         RoutingConfig config = state.config();
         ClientLimits limits = config == null ? null : config.limits();
@@ -328,7 +344,13 @@
             }
             body.appendBuffer(bytes);
         });
-        request.endHandler(ignored -> handler.start(body));
+        request.endHandler(ignored -> {
+            if (gracePeriodEnded) {
+                rejectDraining(handler);
+            } else {
+                handler.start(body);
+            }
+        });
     }
 
     private void onResponseWritten(@Nullable ClientConnection client) {
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -111,6 +111,15 @@
         }
     }
 
+    /** Ends the request because the process is about to end. */
+    void onDrainLimit() {
+        TargetAttempt attempt = currentAttempt;
+        fail(ResultCode.DRAINING, "not complete at the drain limit", Reason.PROCESS_NOT_READY);
+        if (attempt != null && !(route != null && route.kind() == RequestKind.AT_MOST_ONCE)) {
+            abandon(attempt);
+        }
+    }
+
     /** Sends an error response; also used before {@link #start} for requests that exceed a limit. */
     void reject(ErrorResponse error) {
         if (finished) {
