Do not hold responses lost beside a crashed rank against their own

Change: once a target accepts the connection by which it is probed, responses lost there before are no evidence (CrashDetectorTest). Identifiers of parts are cut at 64 characters and reports of parts go four to a datagram, since five with the longest identifiers are 1,630 bytes (MessageCodecTest failed).

--- a/proxy/src/main/java/firwheel/proxy/crash/CrashDetector.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/CrashDetector.java
@@ -74,6 +74,14 @@
         }
     }
 
+    /** Records that a target accepts connections, so that responses lost before had another cause than its end. */
+    public void onTargetListening(Target.Key target) {
+        Incidents known = incidents.get(target);
+        if (known != null) {
+            known.lost.clear();
+        }
+    }
+
     /** Records that a target which did not leave has ended. */
     public void onTargetEnded(Target.Key target, End end) {
         Incidents known = at(target);
--- a/proxy/src/main/java/firwheel/proxy/server/CrashGuard.java
+++ b/proxy/src/main/java/firwheel/proxy/server/CrashGuard.java
@@ -73,6 +73,10 @@
         detector.onResponseAbandoned(request, target.key());
     }
 
+    void onTargetListening(Target.Key target) {
+        detector.onTargetListening(target);
+    }
+
     void onTargetEnded(Target.Key target, CrashDetector.End end) {
         detector.onTargetEnded(target, end);
     }
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyState.java
@@ -108,6 +108,8 @@
                             .log("probed target after a lost response");
                     if (reachability == TargetConnectionPool.Reachability.REFUSING) {
                         onConnectionRefused(target);
+                    } else if (reachability == TargetConnectionPool.Reachability.LISTENING) {
+                        crashGuard.onTargetListening(target.key());
                     }
                 });
         if (!probe.isComplete()) {
--- a/proxy/src/test/java/firwheel/proxy/crash/CrashDetectorTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/CrashDetectorTest.java
@@ -65,6 +65,17 @@
         assertThat(crashing).containsExactly(REQUEST);
     }
 
+    @Test
+    void reportsNoResponseThatWasLostBeforeTheTargetAcceptedAConnection() {
+        detector.onResponseLost(suspect("lost as another rank crashed"), TARGET);
+        detector.onTargetListening(TARGET);
+        detector.onResponseLost(REQUEST, TARGET);
+
+        detector.onTargetEnded(TARGET, End.OBSERVED);
+
+        assertThat(crashing).containsExactly(REQUEST);
+    }
+
     @Test
     void connectsNoLossWithTheEndOfTheTargetLongAfter() {
         detector.onResponseLost(REQUEST, TARGET);
--- a/proxy/src/test/java/firwheel/proxy/crash/CrashingPartModelTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/CrashingPartModelTest.java
@@ -33,7 +33,7 @@
     private static final double SOUND_PER_SECOND = 60;
     private static final double LOSS = 0.05;
     private static final int MAX_DELAY_MILLIS = 30;
-    private static final int REPORTS_PER_DATAGRAM = 5;
+    private static final int REPORTS_PER_DATAGRAM = 4;
     private static final int REPEAT_MILLIS = 500;
     private static final int PEERS_PER_REPEAT = 2;
     private static final int CLOSED_MILLIS = 4_600; // stall, restart of the rank and forming of the group
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -127,7 +127,7 @@
     /** Some of the evidence that the sender has of parts of prompts that crash targets. */
     record PartReports(List<PartReport> reports) implements MeshMessage {
         /** Reports that fit into one datagram with identifiers of the longest length allowed. */
-        public static final int MAX_REPORTS = 5;
+        public static final int MAX_REPORTS = 4;
     }
 
     /**
--- a/wire/src/test/java/firwheel/wire/MessageCodecTest.java
+++ b/wire/src/test/java/firwheel/wire/MessageCodecTest.java
@@ -6,6 +6,7 @@
 import firwheel.model.AttemptId;
 import firwheel.model.FirwheelException;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -51,6 +52,26 @@
         }
     }
 
+    @Nested
+    final class Datagrams {
+        private static final int MAX_BYTES = 1_472; // of an Ethernet frame without fragments
+        private static final int MAC_BYTES = 16;
+
+        @Test
+        void holdReportsOfPartsWithIdentifiersOfTheLongestLength() {
+            String longest = "x".repeat(64);
+            MeshMessage.PartReport report = new MeshMessage.PartReport(
+                    longest, longest, "f".repeat(32), longest, Long.MAX_VALUE, true, Long.MAX_VALUE);
+            MeshMessage.PartReports reports =
+                    new MeshMessage.PartReports(Collections.nCopies(MeshMessage.PartReports.MAX_REPORTS, report));
+
+            byte[] frame = codec.encode(new MeshMessage.ZoneRelay("entry", codec.encode(reports)));
+
+            assertThat(frame.length + MAC_BYTES).isLessThanOrEqualTo(MAX_BYTES);
+            assertThat(codec.decode(codec.encode(reports))).isEqualTo(reports);
+        }
+    }
+
     @Nested
     final class OtherVersions {
         @Test
