Attribute crashes first to parts that were never responded to

Three parts were then equally suspected, no request had all three, and two more servers ended.

Of the parts with the strongest evidence, those that were responded to before a crash are spared if another is left, and refused only after three requests if none is.

--- a/proxy/src/main/java/firwheel/proxy/crash/PartLedger.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartLedger.java
@@ -25,9 +25,10 @@
  * target responds to any request with it. The strength of the evidence against a part is the number of different
  * requests that its crashes are attributed to: a request that is retried, or comes again, counts once.
  *
- * <p>A crash is attributed to the parts with the strongest evidence of those suspected of it. A request that has all of
- * them has the cause, whichever of them it is, and is refused if that evidence is of two requests. Requests with some of
- * them are sent, which clears the parts that are sound.
+ * <p>A crash is attributed to the parts with the strongest evidence of those suspected of it, and among these to the ones
+ * that no target had responded to before, if there are any. A request that has all of them has the cause, whichever of
+ * them it is, and is refused if that evidence is of two requests, or of three where targets had responded to all parts
+ * before. Requests with some of them are sent, which clears the parts that are sound.
  */
 public final class PartLedger {
     /** What is known of the parts of a request. */
@@ -41,6 +42,7 @@
     }
 
     private static final int DECISIVE_STRENGTH = 2;
+    private static final int DECISIVE_STRENGTH_IF_FAMILIAR = 3;
     private static final Map<Integer, Duration> TRIAL_DELAYS =
             Map.of(2, Duration.ofSeconds(30), 3, Duration.ofMinutes(5)); // by strength; none after more
     private static final Duration RETENTION = Duration.ofHours(1); // since the part was last seen
@@ -53,6 +55,7 @@
 
     private final TimeSource time;
     private final Map<PromptPart, Evidence> evidence = new LinkedHashMap<>();
+    private final RecentParts responded = new RecentParts();
     private @Nullable Map<Set<PromptPart>, Culprit> culprits;
     private int nextReport;
 
@@ -64,6 +67,7 @@
 
     private static final class Evidence {
         private final Map<Target.Key, Crash> crashes = new LinkedHashMap<>();
+        private boolean familiar;
         private long lastSeenNanos;
         private long lastCrashNanos;
         private int strength = UNKNOWN;
@@ -124,6 +128,12 @@
         return known == null ? 0 : known.counted().size();
     }
 
+    /** Returns whether targets had responded to requests with a suspected part before its first crash. */
+    public boolean isFamiliar(PromptPart part) {
+        Evidence known = evidence.get(part);
+        return known != null && known.familiar;
+    }
+
     /** Returns the number of different requests that the crashes of the part are attributed to. */
     public int strength(PromptPart part) {
         Evidence known = evidence.get(part);
@@ -133,7 +143,8 @@
     /** Records that a target crashed as it began to respond to a request; returns what was not known. */
     public List<PartReport> recordCrash(Suspect suspect, Target.Key target) {
         return suspect.parts().stream()
-                .map(part -> new PartReport(part, target, suspect.request(), false, Duration.ZERO))
+                .map(part ->
+                        new PartReport(part, target, suspect.request(), responded.contains(part), false, Duration.ZERO))
                 .filter(this::merge)
                 .toList();
     }
@@ -150,6 +161,7 @@
             makeRoom();
             known = new Evidence();
             known.lastSeenNanos = seenNanos;
+            known.familiar = responded.contains(report.part());
             evidence.put(report.part(), known);
         }
         known.lastSeenNanos = Math.max(known.lastSeenNanos, seenNanos);
@@ -166,8 +178,10 @@
         }
         boolean newRequest = crash.requests.size() < MAX_REQUESTS_PER_CRASH && crash.requests.add(report.request());
         boolean newlyCleared = report.cleared() && !crash.cleared;
+        boolean newlyFamiliar = report.familiar() && !known.familiar;
         crash.cleared |= report.cleared();
-        if (newRequest || newlyCleared) {
+        known.familiar |= report.familiar();
+        if (newRequest || newlyCleared || newlyFamiliar) {
             onChanged(known);
         }
         return newlyCleared || (newRequest && !crash.cleared);
@@ -175,6 +189,7 @@
 
     /** Records that a target responded to a request with these parts; returns the reports that clear them. */
     public List<PartReport> clear(Collection<PromptPart> parts) {
+        responded.addAll(parts);
         List<PartReport> clearing = new ArrayList<>();
         for (PromptPart part : parts) {
             Evidence known = evidence.get(part);
@@ -286,7 +301,8 @@
         Duration age = Duration.ofNanos(time.monotonicNanos() - known.lastSeenNanos);
         return known.crashes.entrySet().stream()
                 .flatMap(entry -> entry.getValue().requests.stream()
-                        .map(request -> new PartReport(part, entry.getKey(), request, entry.getValue().cleared, age)))
+                        .map(request -> new PartReport(
+                                part, entry.getKey(), request, known.familiar, entry.getValue().cleared, age)))
                 .toList();
     }
 
@@ -311,15 +327,26 @@
             }
         });
         for (Target.Key target : targets) {
-            Set<PromptPart> strongest = strongestSuspects(target, strengths);
-            int strength = strengths.getOrDefault(strongest.iterator().next(), 0);
-            found.computeIfAbsent(strongest, parts -> new Culprit(strength, new HashSet<>()))
-                    .targets()
-                    .add(target);
+            Set<PromptPart> suspects = likeliestSuspects(target, strengths);
+            PromptPart first = suspects.iterator().next();
+            int strength = strengths.getOrDefault(first, 0);
+            if (strength >= (isFamiliar(first) ? DECISIVE_STRENGTH_IF_FAMILIAR : DECISIVE_STRENGTH)) {
+                found.computeIfAbsent(suspects, parts -> new Culprit(strength, new HashSet<>()))
+                        .targets()
+                        .add(target);
+            }
         }
         return found;
     }
 
+    /** Returns the strongest suspects of a crash, without the familiar ones unless all are. */
+    private Set<PromptPart> likeliestSuspects(Target.Key target, Map<PromptPart, Integer> strengths) {
+        Set<PromptPart> strongest = strongestSuspects(target, strengths);
+        Set<PromptPart> unfamiliar =
+                strongest.stream().filter(part -> !isFamiliar(part)).collect(toCollection(LinkedHashSet::new));
+        return unfamiliar.isEmpty() ? strongest : unfamiliar;
+    }
+
     private Set<Target.Key> countedTargets(PromptPart part) {
         Evidence known = evidence.get(part);
         return known == null
--- a/proxy/src/main/java/firwheel/proxy/crash/PartReport.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartReport.java
@@ -9,8 +9,19 @@
  *
  * @param target incarnation that crashed
  * @param request request that was running
- * @param cleared whether a target has responded to a request with the part since
+ * @param familiar whether targets had responded to requests with the part before its first crash
+ * @param cleared whether a target has responded to a request with the part since the crash
  * @param lastSeenAge time since a request with the part was last seen at an entry
  */
 public record PartReport(
-        PromptPart part, Target.Key target, RequestFingerprint request, boolean cleared, Duration lastSeenAge) {}
+        PromptPart part,
+        Target.Key target,
+        RequestFingerprint request,
+        boolean familiar,
+        boolean cleared,
+        Duration lastSeenAge) {
+    /** Returns this report, stating that targets had responded to the part before. */
+    public PartReport withFamiliarPart() {
+        return new PartReport(part, target, request, true, cleared, lastSeenAge);
+    }
+}
--- a/proxy/src/main/java/firwheel/proxy/server/PartGuard.java
+++ b/proxy/src/main/java/firwheel/proxy/server/PartGuard.java
@@ -9,6 +9,8 @@
 import firwheel.proxy.crash.PromptPart;
 import firwheel.proxy.crash.Suspect;
 import firwheel.proxy.targets.Target;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -85,9 +87,6 @@
 
     /** Records that a target responds to a request with these parts. */
     void onResponding(Set<PromptPart> parts) {
-        if (ledger.isEmpty()) {
-            return;
-        }
         List<PartReport> clearing = ledger.clear(parts);
         clearing.stream().map(PartReport::part).distinct().forEach(part -> logCleared(part, "response"));
         if (!clearing.isEmpty()) {
@@ -96,17 +95,28 @@
         }
     }
 
-    /** Merges what another entry knows. */
-    void onPeerReport(PartReport report) {
-        if (!ledger.merge(report)) {
-            return;
-        }
-        if (report.cleared()) {
-            logCleared(report.part(), "peer");
-        } else {
-            logCrash(report, "peer");
+    /** Merges what another entry knows; returns the targets of crashes that were not known. */
+    Set<Target.Key> onPeerReports(List<PartReport> reports) {
+        Set<Target.Key> crashed = new LinkedHashSet<>();
+        List<PartReport> familiar = new ArrayList<>();
+        for (PartReport report : reports) {
+            if (ledger.merge(report)) {
+                if (report.cleared()) {
+                    logCleared(report.part(), "peer");
+                } else {
+                    logCrash(report, "peer");
+                    crashed.add(report.target());
+                }
+                if (!report.familiar() && ledger.isFamiliar(report.part())) {
+                    familiar.add(report.withFamiliarPart());
+                }
+            }
         }
         logRefusals();
+        if (!familiar.isEmpty()) {
+            reporter.accept(familiar);
+        }
+        return crashed;
     }
 
     /** Returns up to {@code max} reports to repeat to a peer. */
@@ -149,6 +159,8 @@
                 ledger.crashes(part),
                 "requests",
                 ledger.strength(part),
+                "familiar",
+                ledger.isFamiliar(part),
                 "source",
                 source,
                 "lastSeenMillisAgo",
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -203,12 +203,11 @@
         return state.partGuard.nextReports(max);
     }
 
-    /** Records what another entry knows of a part of a prompt that crashes targets. */
-    public void onPeerPartReport(PartReport report) {
-        state.partGuard.onPeerReport(report);
-        if (!report.cleared()) {
-            state.crashGuard.onTargetEnded(report.target(), CrashDetector.End.OBSERVED);
-        }
+    /** Records what another entry knows of parts of prompts that crash targets. */
+    public void onPeerPartReports(List<PartReport> reports) {
+        state.partGuard
+                .onPeerReports(reports)
+                .forEach(target -> state.crashGuard.onTargetEnded(target, CrashDetector.End.OBSERVED));
     }
 
     /** Returns up to {@code max} reports of crashes to repeat to a peer, other ones each time. */
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -405,7 +405,7 @@
             clientResponse.startStream(head);
         }
         recordChunk();
-        if (attempt.responding()) {
+        if (attempt.events() == TargetAttempt.EVENTS_WHEN_RESPONDING) {
             suspicion.onResponding();
         }
         if (event.id() != null) {
--- a/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetAttempt.java
@@ -49,6 +49,9 @@
         boolean onStalled(TargetAttempt attempt);
     }
 
+    /** Events after which a target has begun to respond; one that crashes at that moment may have sent the first. */
+    static final int EVENTS_WHEN_RESPONDING = 2;
+
     private static final Logger logger = LoggerFactory.getLogger(TargetAttempt.class);
     private static final long STREAM_STALL_TIMEOUT_MILLIS =
             1_700; // above the 1.5 s that a group waits for a lost rank, below the 2 s limit of clients
@@ -120,12 +123,9 @@
         return events;
     }
 
-    /**
-     * Returns whether the target has gone on after the first event of its response. One that crashes as it begins to
-     * respond may still have sent that.
-     */
+    /** Returns whether the target has sent so many events that it did not crash as it began to respond. */
     boolean responding() {
-        return events > 1;
+        return events >= EVENTS_WHEN_RESPONDING;
     }
 
     /** Returns whether neither a complete response nor a failure has been reported. */
--- a/proxy/src/test/java/firwheel/proxy/crash/CrashingPartModelTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/CrashingPartModelTest.java
@@ -41,6 +41,7 @@
     private static final int CONTACT_MILLIS = 3_000;
     private static final int CRASHES = 5;
     private static final int ALLOWED_ARRIVALS = 3;
+    private static final int BAD_FROM_MILLIS = 5_000;
     private static final int DAY_MILLIS = 60_000;
 
     private static PromptPart part(int number) {
@@ -68,6 +69,7 @@
         private final double badPerSecond;
         private final double otherCrashesPerSecond;
         private final boolean badWithOneSharedPart;
+        private final boolean soundBefore;
         private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
         private final List<PartLedger> ledgers =
                 Stream.generate(() -> new PartLedger(time)).limit(ENTRIES).toList();
@@ -84,11 +86,17 @@
         private int soundSettled;
         private int soundRefusedSettled;
 
-        Simulation(long seed, double badPerSecond, double otherCrashesPerSecond, boolean badWithOneSharedPart) {
+        Simulation(
+                long seed,
+                double badPerSecond,
+                double otherCrashesPerSecond,
+                boolean badWithOneSharedPart,
+                boolean soundBefore) {
             random = new Random(seed);
             this.badPerSecond = badPerSecond;
             this.otherCrashesPerSecond = otherCrashesPerSecond;
             this.badWithOneSharedPart = badWithOneSharedPart;
+            this.soundBefore = soundBefore;
         }
 
         void run() {
@@ -102,7 +110,7 @@
                 if (happens(SOUND_PER_SECOND)) {
                     arrive(Set.of(part(popular())));
                 }
-                if (nowMillis > 5_000 && happens(badPerSecond)) {
+                if ((soundBefore || isBadNow()) && happens(badPerSecond)) {
                     arrive(Set.of(part(badWithOneSharedPart ? 0 : popular()), BAD));
                 }
                 if (nowMillis >= opensMillis) {
@@ -117,6 +125,10 @@
             }
         }
 
+        private boolean isBadNow() {
+            return nowMillis > BAD_FROM_MILLIS;
+        }
+
         private boolean happens(double perSecond) {
             return random.nextDouble() < perSecond / 1_000;
         }
@@ -143,7 +155,7 @@
             if (refused) {
                 return;
             }
-            if (request.bad()) {
+            if (request.bad() && isBadNow()) {
                 badArrivalMillis.add(nowMillis);
             }
             running.add(new Running(nowMillis + 60 + random.nextInt(340), random.nextInt(RANKS), request.sent()));
@@ -159,7 +171,7 @@
                 if (done.respondsMillis() > nowMillis || !running.contains(done)) {
                     continue;
                 }
-                if (done.request().bad()) {
+                if (done.request().bad() && isBadNow()) {
                     badCrashMillis.add(nowMillis);
                     crash(done.rank());
                 } else {
@@ -228,19 +240,25 @@
 
     static Stream<Arguments> days() {
         return Stream.of(
-                Arguments.of("a bad request a second", 1.0, 0.0, false),
-                Arguments.of("five bad requests a second", 5.0, 0.0, false),
-                Arguments.of("bad requests that share two parts", 1.0, 0.0, true),
-                Arguments.of("crashes with other causes", 1.0, 0.1, false),
-                Arguments.of("crashes with other causes beside bad requests that share two parts", 3.0, 0.1, true));
+                Arguments.of("a bad request a second", 1.0, 0.0, false, false),
+                Arguments.of("five bad requests a second", 5.0, 0.0, false, false),
+                Arguments.of("bad requests that share two parts", 1.0, 0.0, true, false),
+                Arguments.of("a part that was sound before", 2.0, 0.0, true, true),
+                Arguments.of("crashes with other causes", 1.0, 0.1, false, false),
+                Arguments.of("crashes with other causes beside two shared parts", 3.0, 0.1, true, false));
     }
 
     @ParameterizedTest(name = "{0}")
     @MethodSource("days")
     void refusesRequestsWithThePartAndServesTheOthers(
-            String day, double badPerSecond, double otherCrashesPerSecond, boolean badWithOneSharedPart) {
+            String day,
+            double badPerSecond,
+            double otherCrashesPerSecond,
+            boolean badWithOneSharedPart,
+            boolean soundBefore) {
         for (long seed = 0; seed < SEEDS; seed++) {
-            Simulation simulation = new Simulation(seed, badPerSecond, otherCrashesPerSecond, badWithOneSharedPart);
+            Simulation simulation =
+                    new Simulation(seed, badPerSecond, otherCrashesPerSecond, badWithOneSharedPart, soundBefore);
             simulation.run();
 
             String run = day + ", seed " + seed + ", crashes at " + simulation.badCrashMillis;
@@ -256,7 +274,7 @@
         int served = 0;
         int refused = 0;
         for (long seed = 0; seed < SEEDS; seed++) {
-            Simulation simulation = new Simulation(seed, 0, otherCrashesPerSecond, false);
+            Simulation simulation = new Simulation(seed, 0, otherCrashesPerSecond, false, false);
             simulation.badCrashMillis.add(-2L * CONTACT_MILLIS); // counts the whole day
             simulation.run();
             served += simulation.soundSettled;
--- a/proxy/src/test/java/firwheel/proxy/crash/PartLedgerTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/PartLedgerTest.java
@@ -104,6 +104,31 @@
             assertThat(judge("popular")).isEqualTo(Verdict.SUSPECTED);
         }
 
+        @Test
+        void preferPartsThatNoTargetHadRespondedToBefore() {
+            ledger.clear(parts("shared", "popular"));
+            crash(1, "r1", "shared", "bad");
+            crash(1, "beside-1", "popular");
+            crash(2, "r2", "shared", "bad");
+            crash(2, "beside-2", "popular");
+
+            assertThat(judge("bad")).isEqualTo(Verdict.REFUSED);
+            assertThat(judge("shared")).isEqualTo(Verdict.SUSPECTED);
+            assertThat(judge("popular")).isEqualTo(Verdict.SUSPECTED);
+        }
+
+        @Test
+        void refuseAPartThatTargetsHadRespondedToAfterThreeRequests() {
+            ledger.clear(parts("now-bad"));
+            crash(1, "r1", "now-bad");
+            crash(2, "r2", "now-bad");
+            assertThat(judge("now-bad")).isEqualTo(Verdict.SUSPECTED);
+
+            crash(3, "r3", "now-bad");
+
+            assertThat(judge("now-bad")).isEqualTo(Verdict.REFUSED);
+        }
+
         @Test
         void holdForOneServiceOnly() {
             crash(1, "r1", "bad");
@@ -131,6 +156,7 @@
             List<PartReport> reports = new ArrayList<>(crash(1, "r1", "shared", "bad"));
             reports.addAll(crash(2, "r2", "shared", "bad"));
             reports.addAll(ledger.clear(parts("shared")));
+            reports.add(crash(3, "r3", "session").get(0).withFamiliarPart());
             reports.addAll(List.copyOf(reports));
 
             for (int seed = 0; seed < 50; seed++) {
@@ -140,6 +166,9 @@
 
                 assertThat(other.judge(parts("bad"))).as("seed %d", seed).isEqualTo(Verdict.REFUSED);
                 assertThat(other.judge(parts("shared"))).as("seed %d", seed).isEqualTo(Verdict.UNSUSPECTED);
+                assertThat(other.isFamiliar(new PromptPart("svc", "session")))
+                        .as("seed %d", seed)
+                        .isTrue();
             }
         }
 
