Answer running requests at a second signal

A sibling of the requests that were cut at the end of the grace period: on the users' platform a second SIGTERM or SIGINT during the drain did nothing but end the process two seconds later, and what ran was cut without an answer. An entry now answers it at once, as at the drain limit.

--- a/cli/src/main/java/firwheel/cli/PlatformRunner.java
+++ b/cli/src/main/java/firwheel/cli/PlatformRunner.java
@@ -35,6 +35,6 @@
         SettingsFileWatcher watcher = new SettingsFileWatcher(file.toPath(), settings, process::apply);
         watcher.start(vertx);
         Signals.handle("HUP", watcher::reloadIfChanged);
-        return Shutdown.awaitSignal(process::stop, () -> {}, stopTimeout.apply(settings));
+        return Shutdown.awaitSignal(process::stop, process::abort, stopTimeout.apply(settings));
     }
 }
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -272,7 +272,7 @@
     }
 
     /** Answers requests that do not end before the process does, so that their clients need not wait for its end. */
-    private void endActiveRequests() {
+    public void endActiveRequests() {
         if (!activeRequests.isEmpty()) {
             Events.log(logger, EventCode.DRAIN_CUT, "running", activeRequests.size());
             List.copyOf(activeRequests).forEach(RequestHandler::onDrainLimit);
