Keep parts familiar once responded to, and trials as often for them

Found by reading the ledger again: - A part that was cleared of a crash counted as one that no target had responded to. It is familiar from then on. - The delay before a refused part is tried again went by the number of requests, so that for familiar parts, which are refused after three, the first trial came after five minutes. It goes by crashes since the refusal. - After eight crashes that a part was cleared of, later ones were ignored. New crashes replace cleared ones. - A cleared crash is reported once, not once for each request.

--- a/proxy/src/main/java/firwheel/proxy/crash/PartLedger.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartLedger.java
@@ -26,9 +26,9 @@
  * requests that its crashes are attributed to: a request that is retried, or comes again, counts once.
  *
  * <p>A crash is attributed to the parts with the strongest evidence of those suspected of it, and among these to the ones
- * that no target had responded to before, if there are any. A request that has all of them has the cause, whichever of
- * them it is, and is refused if that evidence is of two requests, or of three where targets had responded to all parts
- * before. Requests with some of them are sent, which clears the parts that are sound.
+ * that no target is known to have ever responded to, if there are any. The others are familiar. A request that has all
+ * parts that a crash is attributed to has the cause, whichever of them it is, and is refused if that evidence is of two
+ * requests, or of three if all of them are familiar. Requests with some of them are sent, which clears the sound parts.
  */
 public final class PartLedger {
     /** What is known of the parts of a request. */
@@ -43,8 +43,8 @@
 
     private static final int DECISIVE_STRENGTH = 2;
     private static final int DECISIVE_STRENGTH_IF_FAMILIAR = 3;
-    private static final Map<Integer, Duration> TRIAL_DELAYS =
-            Map.of(2, Duration.ofSeconds(30), 3, Duration.ofMinutes(5)); // by strength; none after more
+    private static final List<Duration> TRIAL_DELAYS =
+            List.of(Duration.ofSeconds(30), Duration.ofMinutes(5)); // by crashes since the refusal; none after more
     private static final Duration RETENTION = Duration.ofHours(1); // since the part was last seen
     private static final Duration CLEARED_RETENTION =
             Duration.ofMinutes(1); // outlasts reports of peers that did not hear of the response
@@ -72,6 +72,15 @@
         private long lastCrashNanos;
         private int strength = UNKNOWN;
 
+        /** Removes the oldest crash that the part was cleared of; returns false if there is none. */
+        boolean removeClearedCrash() {
+            return crashes.values().stream()
+                    .filter(crash -> crash.cleared)
+                    .findFirst()
+                    .map(crash -> crashes.values().remove(crash))
+                    .orElse(false);
+        }
+
         boolean counts(Target.Key target) {
             Crash crash = crashes.get(target);
             return crash != null && !crash.cleared;
@@ -104,8 +113,18 @@
         }
     }
 
-    /** Parts to which crashes are attributed together. */
-    private record Culprit(int strength, Set<Target.Key> targets) {}
+    /**
+     * Parts to which crashes are attributed together.
+     *
+     * @param strengthAboveDecisive strength of the evidence beyond that for which requests are refused
+     * @param targets targets that crashed
+     */
+    private record Culprit(int strengthAboveDecisive, Set<Target.Key> targets) {
+        @Nullable
+        Duration trialDelay() {
+            return strengthAboveDecisive < TRIAL_DELAYS.size() ? TRIAL_DELAYS.get(strengthAboveDecisive) : null;
+        }
+    }
 
     /** Creates an empty ledger. */
     public PartLedger(TimeSource time) {
@@ -128,7 +147,7 @@
         return known == null ? 0 : known.counted().size();
     }
 
-    /** Returns whether targets had responded to requests with a suspected part before its first crash. */
+    /** Returns whether a target is known to have ever responded to a request with a suspected part. */
     public boolean isFamiliar(PromptPart part) {
         Evidence known = evidence.get(part);
         return known != null && known.familiar;
@@ -167,7 +186,7 @@
         known.lastSeenNanos = Math.max(known.lastSeenNanos, seenNanos);
         Crash crash = known.crashes.get(report.target());
         if (crash == null) {
-            if (known.crashes.size() == MAX_CRASHES_PER_PART) {
+            if (known.crashes.size() == MAX_CRASHES_PER_PART && !known.removeClearedCrash()) {
                 return false;
             }
             crash = new Crash();
@@ -195,6 +214,7 @@
             Evidence known = evidence.get(part);
             if (known != null && !known.counted().isEmpty()) {
                 known.counted().forEach(crash -> crash.cleared = true);
+                known.familiar = true;
                 known.lastSeenNanos = time.monotonicNanos();
                 clearing.addAll(reports(part, known));
                 onChanged(known);
@@ -243,7 +263,7 @@
     /** Returns whether a refused request may be sent once to find out whether targets still crash under its parts. */
     public boolean tryBeginTrial(Set<PromptPart> cause) {
         Culprit culprit = culprits().get(cause);
-        Duration delay = culprit == null ? null : TRIAL_DELAYS.get(culprit.strength());
+        Duration delay = culprit == null ? null : culprit.trialDelay();
         long now = time.monotonicNanos();
         long lastCrashNanos = cause.stream()
                 .map(evidence::get)
@@ -301,6 +321,7 @@
         Duration age = Duration.ofNanos(time.monotonicNanos() - known.lastSeenNanos);
         return known.crashes.entrySet().stream()
                 .flatMap(entry -> entry.getValue().requests.stream()
+                        .limit(entry.getValue().cleared ? 1 : MAX_REQUESTS_PER_CRASH) // one clears the crash
                         .map(request -> new PartReport(
                                 part, entry.getKey(), request, known.familiar, entry.getValue().cleared, age)))
                 .toList();
@@ -329,9 +350,10 @@
         for (Target.Key target : targets) {
             Set<PromptPart> suspects = likeliestSuspects(target, strengths);
             PromptPart first = suspects.iterator().next();
+            int decisive = isFamiliar(first) ? DECISIVE_STRENGTH_IF_FAMILIAR : DECISIVE_STRENGTH;
             int strength = strengths.getOrDefault(first, 0);
-            if (strength >= (isFamiliar(first) ? DECISIVE_STRENGTH_IF_FAMILIAR : DECISIVE_STRENGTH)) {
-                found.computeIfAbsent(suspects, parts -> new Culprit(strength, new HashSet<>()))
+            if (strength >= decisive) {
+                found.computeIfAbsent(suspects, parts -> new Culprit(strength - decisive, new HashSet<>()))
                         .targets()
                         .add(target);
             }
--- a/proxy/src/main/java/firwheel/proxy/crash/PartReport.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartReport.java
@@ -9,7 +9,7 @@
  *
  * @param target incarnation that crashed
  * @param request request that was running
- * @param familiar whether targets had responded to requests with the part before its first crash
+ * @param familiar whether a target is known to have ever responded to a request with the part
  * @param cleared whether a target has responded to a request with the part since the crash
  * @param lastSeenAge time since a request with the part was last seen at an entry
  */
--- a/proxy/src/test/java/firwheel/proxy/crash/PartLedgerTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/PartLedgerTest.java
@@ -184,6 +184,19 @@
                     .allMatch(report -> report.part().id().equals("bad"));
         }
 
+        @Test
+        void ofNewCrashesReplaceThoseThatAPartWasClearedOf() {
+            for (int i = 0; i < 20; i++) {
+                crash(i, "r" + i, "popular");
+                ledger.clear(parts("popular"));
+            }
+            crash(20, "r20", "popular");
+            crash(21, "r21", "popular");
+            crash(22, "r22", "popular");
+
+            assertThat(judge("popular")).isEqualTo(Verdict.REFUSED);
+        }
+
         @Test
         void areBoundedByRemovingTheWeakestEvidence() {
             crash(1, "r1", "bad");
@@ -220,6 +233,18 @@
             assertThat(ledger.tryBeginTrial(parts("bad"))).isFalse();
         }
 
+        @Test
+        void areDueAfterTheSameTimeForPartsThatTargetsHadRespondedTo() {
+            ledger.clear(parts("now-bad"));
+            crash(1, "r1", "now-bad");
+            crash(2, "r2", "now-bad");
+            crash(3, "r3", "now-bad");
+
+            time.advance(Duration.ofSeconds(31));
+
+            assertThat(ledger.tryBeginTrial(parts("now-bad"))).isTrue();
+        }
+
         @Test
         void endTheRefusalWhenATargetResponds() {
             crash(1, "r1", "sound");
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -112,7 +112,7 @@
      * @param request fingerprint of the request, in hexadecimal
      * @param instanceId identifier of the target
      * @param startedMillis start time of the target in Unix milliseconds
-     * @param familiar whether targets had responded to requests with the part before its first crash
+     * @param familiar whether a target is known to have ever responded to a request with the part
      * @param cleared whether a target has responded to a request with the part since
      * @param seenMillisAgo time since the part was last seen at an entry
      */
