Split the ledger of parts, and bound what entries send about them

PartEvidence holds the crashes of one part, CrashAttribution concludes from all, PartLedger merges, tries and forgets. - Each entry that knew a part announced so when a peer did not: one broadcast from each entry for one crash, so the square of their number. The repeats carry it now. - Each conclusion looked at all parts for each crash. It is one pass over the suspicions. - Repeats put the strongest evidence first and left the rest out for as long as there was enough of it, so that lost clearings were never made good, and with fewer strong reports skipped some of the rest for ever. RepeatSchedule gives half to each in turn, for whole requests as well, where it was the same. - An entry that reaches the drain limit names requests whose responses were written and not read, which the planned stops of left open.

--- a/cli/src/main/java/firwheel/cli/BenchCommand.java
+++ b/cli/src/main/java/firwheel/cli/BenchCommand.java
@@ -5,6 +5,7 @@
 import firwheel.bench.capacity.CapacityPage;
 import firwheel.bench.capacity.RecordedSlopes;
 import firwheel.bench.capacity.SlopeMeasurement;
+import firwheel.bench.crash.CrashingPartSimulation;
 import firwheel.model.FirwheelException;
 import firwheel.model.ResultCode;
 import firwheel.model.TimeSource;
@@ -14,22 +15,36 @@
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
-/** Measures cost slopes (cost per unit of load), or prints the tables of the capacity page from recorded slopes. */
+/**
+ * Measures cost slopes (cost per unit of load), prints the tables of the capacity page from recorded slopes, or simulates
+ * days on which a part of prompts crashes targets.
+ */
 final class BenchCommand implements Command {
-    @Argument(metaVar = "slopes|capacity", required = true, usage = "measure cost slopes, or print the capacity tables")
+    @Argument(
+            metaVar = "slopes|capacity|crashing-parts",
+            required = true,
+            usage = "measure cost slopes, print the capacity tables, or simulate parts of prompts that crash targets")
     private String mode = "";
 
     @Option(name = "--slopes", metaVar = "FILE", usage = "recorded slopes for the capacity tables")
     private File slopesFile = new File("docs/capacity/slopes.json");
 
+    @Option(name = "--entries", metaVar = "N", usage = "entries of each simulated day")
+    private int entries = 13;
+
+    @Option(name = "--seeds", metaVar = "N", usage = "simulated days of each kind")
+    private int seeds = 50;
+
     @Override
     public ExitCode run() {
         switch (mode) {
             case "slopes" -> System.out.println(json(SlopeMeasurement.measure(TimeSource.system())));
             case "capacity" -> printPage();
+            case "crashing-parts" -> System.out.println(CrashingPartSimulation.table(entries, seeds));
             default ->
                 throw new FirwheelException(
-                        ResultCode.BAD_USAGE, "unknown benchmark " + mode + "; expected slopes or capacity");
+                        ResultCode.BAD_USAGE,
+                        "unknown benchmark " + mode + "; expected slopes, capacity or crashing-parts");
         }
         return ExitCode.SUCCESS;
     }
--- a/proxy/src/main/java/firwheel/proxy/crash/CrashLedger.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/CrashLedger.java
@@ -50,7 +50,7 @@
     private final TimeSource time;
     private final Predicate<Target.Key> explained;
     private final Map<RequestFingerprint, Evidence> evidence = new LinkedHashMap<>();
-    private int nextReport;
+    private final RepeatSchedule repeats = new RepeatSchedule();
 
     private final class Evidence {
         /** Incarnations that crashed, and whether the request was cleared of it. */
@@ -212,25 +212,14 @@
     }
 
     /**
-     * Returns up to {@code max} reports to repeat to a peer, other ones each time. Requests with several crashes go
-     * first, since they are the ones that are refused.
+     * Returns up to {@code max} reports to repeat to a peer, other ones each time. Half of them are of requests with
+     * several crashes, since these may be refused.
      */
     public List<CrashReport> nextReports(int max) {
         List<CrashReport> repeated = new ArrayList<>();
         List<CrashReport> others = new ArrayList<>();
         evidence.forEach((request, known) -> (known.count() > 1 ? repeated : others).addAll(reports(request, known)));
-        List<CrashReport> result = new ArrayList<>();
-        addRotating(result, repeated, max);
-        addRotating(result, others, max);
-        nextReport += max;
-        return result;
-    }
-
-    private void addRotating(List<CrashReport> result, List<CrashReport> reports, int max) {
-        int count = Math.min(max - result.size(), reports.size());
-        for (int i = 0; i < count; i++) {
-            result.add(reports.get(Math.floorMod(nextReport + i, reports.size())));
-        }
+        return repeats.next(repeated, others, max);
     }
 
     private List<CrashReport> reports(RequestFingerprint request, Evidence known) {
--- a/proxy/src/main/java/firwheel/proxy/crash/PartLedger.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartLedger.java
@@ -1,19 +1,15 @@
 package firwheel.proxy.crash;
 
-import static java.util.stream.Collectors.toCollection;
-
 import firwheel.model.TimeSource;
 import firwheel.proxy.targets.Target;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -41,90 +37,18 @@
         REFUSED
     }
 
-    private static final int DECISIVE_STRENGTH = 2;
-    private static final int DECISIVE_STRENGTH_IF_FAMILIAR = 3;
     private static final List<Duration> TRIAL_DELAYS =
             List.of(Duration.ofSeconds(30), Duration.ofMinutes(5)); // by crashes since the refusal; none after more
     private static final Duration RETENTION = Duration.ofHours(1); // since the part was last seen
     private static final Duration CLEARED_RETENTION =
             Duration.ofMinutes(1); // outlasts reports of peers that did not hear of the response
     private static final int MAX_PARTS = 1_024;
-    private static final int MAX_CRASHES_PER_PART = 8;
-    private static final int MAX_REQUESTS_PER_CRASH = 4;
-    private static final int UNKNOWN = -1; // computed when it is needed
 
     private final TimeSource time;
-    private final Map<PromptPart, Evidence> evidence = new LinkedHashMap<>();
+    private final Map<PromptPart, PartEvidence> evidence = new LinkedHashMap<>();
     private final RecentParts responded = new RecentParts();
-    private @Nullable Map<Set<PromptPart>, Culprit> culprits;
-    private int nextReport;
-
-    /** One crash that a part is suspected of. */
-    private static final class Crash {
-        private final Set<RequestFingerprint> requests = new LinkedHashSet<>();
-        private boolean cleared;
-    }
-
-    private static final class Evidence {
-        private final Map<Target.Key, Crash> crashes = new LinkedHashMap<>();
-        private boolean familiar;
-        private long lastSeenNanos;
-        private long lastCrashNanos;
-        private int strength = UNKNOWN;
-
-        /** Removes the oldest crash that the part was cleared of; returns false if there is none. */
-        boolean removeClearedCrash() {
-            return crashes.values().stream()
-                    .filter(crash -> crash.cleared)
-                    .findFirst()
-                    .map(crash -> crashes.values().remove(crash))
-                    .orElse(false);
-        }
-
-        boolean counts(Target.Key target) {
-            Crash crash = crashes.get(target);
-            return crash != null && !crash.cleared;
-        }
-
-        List<Crash> counted() {
-            return crashes.values().stream().filter(crash -> !crash.cleared).toList();
-        }
-
-        /** Returns the number of different requests that the crashes are attributed to. */
-        int strength() {
-            if (strength == UNKNOWN) {
-                strength = computeStrength();
-            }
-            return strength;
-        }
-
-        private int computeStrength() {
-            List<Crash> counted = counted();
-            Map<RequestFingerprint, Integer> crashesByRequest = new HashMap<>();
-            counted.forEach(
-                    crash -> crash.requests.forEach(request -> crashesByRequest.merge(request, 1, Integer::sum)));
-            Comparator<RequestFingerprint> mostCrashes = Comparator.<RequestFingerprint>comparingInt(
-                            request -> crashesByRequest.getOrDefault(request, 0))
-                    .thenComparing(RequestFingerprint::value);
-            return (int) counted.stream()
-                    .map(crash -> crash.requests.stream().max(mostCrashes).orElseThrow())
-                    .distinct()
-                    .count();
-        }
-    }
-
-    /**
-     * Parts to which crashes are attributed together.
-     *
-     * @param strengthAboveDecisive strength of the evidence beyond that for which requests are refused
-     * @param targets targets that crashed
-     */
-    private record Culprit(int strengthAboveDecisive, Set<Target.Key> targets) {
-        @Nullable
-        Duration trialDelay() {
-            return strengthAboveDecisive < TRIAL_DELAYS.size() ? TRIAL_DELAYS.get(strengthAboveDecisive) : null;
-        }
-    }
+    private @Nullable Map<Set<PromptPart>, CrashAttribution> attributions; // null after a change of the evidence
+    private final RepeatSchedule repeats = new RepeatSchedule();
 
     /** Creates an empty ledger. */
     public PartLedger(TimeSource time) {
@@ -143,19 +67,19 @@
 
     /** Returns the number of crashes that the part is suspected of. */
     public int crashes(PromptPart part) {
-        Evidence known = evidence.get(part);
-        return known == null ? 0 : known.counted().size();
+        PartEvidence known = evidence.get(part);
+        return known == null ? 0 : known.suspectedCrashes().size();
     }
 
     /** Returns whether a target is known to have ever responded to a request with a suspected part. */
     public boolean isFamiliar(PromptPart part) {
-        Evidence known = evidence.get(part);
-        return known != null && known.familiar;
+        PartEvidence known = evidence.get(part);
+        return known != null && known.isFamiliar();
     }
 
     /** Returns the number of different requests that the crashes of the part are attributed to. */
     public int strength(PromptPart part) {
-        Evidence known = evidence.get(part);
+        PartEvidence known = evidence.get(part);
         return known == null ? 0 : known.strength();
     }
 
@@ -168,56 +92,37 @@
                 .toList();
     }
 
-    /** Merges a report of this or another entry; returns whether it changed anything. */
+    /** Merges a report of this or another entry; returns whether it changed what is held against the part. */
     public boolean merge(PartReport report) {
         if (report.lastSeenAge().compareTo(RETENTION) > 0) {
             return false;
         }
         long now = time.monotonicNanos();
-        long seenNanos = now - report.lastSeenAge().toNanos();
-        Evidence known = evidence.get(report.part());
+        PartEvidence known = evidence.get(report.part());
         if (known == null) {
             makeRoom();
-            known = new Evidence();
-            known.lastSeenNanos = seenNanos;
-            known.familiar = responded.contains(report.part());
+            known = new PartEvidence(
+                    responded.contains(report.part()),
+                    now - report.lastSeenAge().toNanos());
             evidence.put(report.part(), known);
         }
-        known.lastSeenNanos = Math.max(known.lastSeenNanos, seenNanos);
-        Crash crash = known.crashes.get(report.target());
-        if (crash == null) {
-            if (known.crashes.size() == MAX_CRASHES_PER_PART && !known.removeClearedCrash()) {
-                return false;
-            }
-            crash = new Crash();
-            known.crashes.put(report.target(), crash);
-            if (!report.cleared()) {
-                known.lastCrashNanos = now;
-            }
-        }
-        boolean newRequest = crash.requests.size() < MAX_REQUESTS_PER_CRASH && crash.requests.add(report.request());
-        boolean newlyCleared = report.cleared() && !crash.cleared;
-        boolean newlyFamiliar = report.familiar() && !known.familiar;
-        crash.cleared |= report.cleared();
-        known.familiar |= report.familiar();
-        if (newRequest || newlyCleared || newlyFamiliar) {
-            onChanged(known);
+        boolean changed = known.merge(report, now);
+        if (changed) {
+            attributions = null;
         }
-        return newlyCleared || (newRequest && !crash.cleared);
+        return changed;
     }
 
     /** Records that a target responded to a request with these parts; returns the reports that clear them. */
     public List<PartReport> clear(Collection<PromptPart> parts) {
         responded.addAll(parts);
+        long now = time.monotonicNanos();
         List<PartReport> clearing = new ArrayList<>();
         for (PromptPart part : parts) {
-            Evidence known = evidence.get(part);
-            if (known != null && !known.counted().isEmpty()) {
-                known.counted().forEach(crash -> crash.cleared = true);
-                known.familiar = true;
-                known.lastSeenNanos = time.monotonicNanos();
-                clearing.addAll(reports(part, known));
-                onChanged(known);
+            PartEvidence known = evidence.get(part);
+            if (known != null && known.clear(now)) {
+                clearing.addAll(known.reports(part, now));
+                attributions = null;
             }
         }
         return clearing;
@@ -225,10 +130,11 @@
 
     /** Records that a request with these parts has arrived, which keeps what is known of them. */
     public void recordSeen(Collection<PromptPart> parts) {
+        long now = time.monotonicNanos();
         for (PromptPart part : parts) {
-            Evidence known = evidence.get(part);
-            if (known != null && !known.counted().isEmpty()) {
-                known.lastSeenNanos = time.monotonicNanos();
+            PartEvidence known = evidence.get(part);
+            if (known != null && known.isSuspected()) {
+                known.recordSeen(now);
             }
         }
     }
@@ -243,7 +149,7 @@
 
     /** Returns the parts for which a request is refused; empty if it is not. */
     public Set<PromptPart> cause(Set<PromptPart> parts) {
-        return culprits().keySet().stream()
+        return attributions().keySet().stream()
                 .filter(parts::containsAll)
                 .findFirst()
                 .orElse(Set.of());
@@ -251,30 +157,29 @@
 
     /** Returns all sets of parts for which requests are refused. */
     public Set<Set<PromptPart>> refusals() {
-        return Set.copyOf(culprits().keySet());
+        return Set.copyOf(attributions().keySet());
     }
 
     /** Returns whether requests are refused for a part that the crash of a target is attributed to. */
     public boolean explains(Target.Key target) {
-        return culprits().values().stream()
-                .anyMatch(culprit -> culprit.targets().contains(target));
+        return attributions().values().stream()
+                .anyMatch(attribution -> attribution.targets().contains(target));
     }
 
     /** Returns whether a refused request may be sent once to find out whether targets still crash under its parts. */
     public boolean tryBeginTrial(Set<PromptPart> cause) {
-        Culprit culprit = culprits().get(cause);
-        Duration delay = culprit == null ? null : culprit.trialDelay();
+        CrashAttribution attribution = attributions().get(cause);
+        if (attribution == null || attribution.strengthAboveDecisive() >= TRIAL_DELAYS.size()) {
+            return false;
+        }
         long now = time.monotonicNanos();
-        long lastCrashNanos = cause.stream()
-                .map(evidence::get)
-                .mapToLong(known -> known == null ? now : known.lastCrashNanos)
-                .max()
-                .orElse(now);
-        if (delay == null || now - lastCrashNanos < delay.toNanos()) {
+        long delayNanos = TRIAL_DELAYS.get(attribution.strengthAboveDecisive()).toNanos();
+        List<PartEvidence> known =
+                cause.stream().map(evidence::get).filter(Objects::nonNull).toList();
+        if (known.stream().anyMatch(part -> now - part.lastCrashNanos() < delayNanos)) {
             return false;
         }
-        // The next trial is due only after another delay, whatever comes of this one.
-        cause.stream().map(evidence::get).forEach(known -> known.lastCrashNanos = now);
+        known.forEach(part -> part.recordTrial(now)); // the next one is due after another delay, whatever comes of this
         return true;
     }
 
@@ -283,133 +188,60 @@
         long now = time.monotonicNanos();
         List<PromptPart> expired = new ArrayList<>();
         boolean removed = evidence.entrySet().removeIf(entry -> {
-            boolean suspected = !entry.getValue().counted().isEmpty();
+            boolean suspected = entry.getValue().isSuspected();
             Duration retention = suspected ? RETENTION : CLEARED_RETENTION;
-            boolean remove = now - entry.getValue().lastSeenNanos > retention.toNanos();
+            boolean remove = now - entry.getValue().lastSeenNanos() > retention.toNanos();
             if (remove && suspected) {
                 expired.add(entry.getKey());
             }
             return remove;
         });
         if (removed) {
-            culprits = null;
+            attributions = null;
         }
         return expired;
     }
 
-    /** Returns up to {@code max} reports to repeat to a peer, other ones each time, those of the strongest first. */
+    /**
+     * Returns up to {@code max} reports to repeat to a peer, each of another part. Half of them are of parts with several
+     * requests, since requests may be refused for these. Successive calls return all reports in turn.
+     */
     public List<PartReport> nextReports(int max) {
-        List<PartReport> strong = new ArrayList<>();
-        List<PartReport> others = new ArrayList<>();
-        evidence.forEach((part, known) ->
-                (known.strength() >= DECISIVE_STRENGTH ? strong : others).addAll(reports(part, known)));
-        List<PartReport> result = new ArrayList<>();
-        addRotating(result, strong, max);
-        addRotating(result, others, max);
-        nextReport += max;
-        return result;
-    }
-
-    private void addRotating(List<PartReport> result, List<PartReport> reports, int max) {
-        int count = Math.min(max - result.size(), reports.size());
-        for (int i = 0; i < count; i++) {
-            result.add(reports.get(Math.floorMod(nextReport + i, reports.size())));
+        List<PromptPart> strong = new ArrayList<>();
+        List<PromptPart> others = new ArrayList<>();
+        evidence.forEach((part, known) -> (known.strength() > 1 ? strong : others).add(part));
+        long now = time.monotonicNanos();
+        List<PartReport> reports = new ArrayList<>();
+        for (PromptPart part : repeats.next(strong, others, max)) {
+            PartEvidence known = evidence.get(part);
+            if (known != null) {
+                reports.add(known.nextReport(part, now));
+            }
         }
+        return reports;
     }
 
-    private List<PartReport> reports(PromptPart part, Evidence known) {
-        Duration age = Duration.ofNanos(time.monotonicNanos() - known.lastSeenNanos);
-        return known.crashes.entrySet().stream()
-                .flatMap(entry -> entry.getValue().requests.stream()
-                        .limit(entry.getValue().cleared ? 1 : MAX_REQUESTS_PER_CRASH) // one clears the crash
-                        .map(request -> new PartReport(
-                                part, entry.getKey(), request, known.familiar, entry.getValue().cleared, age)))
-                .toList();
-    }
-
-    /** Returns the sets of parts that requests are refused for; computed again after each change of the evidence. */
-    private Map<Set<PromptPart>, Culprit> culprits() {
-        Map<Set<PromptPart>, Culprit> known = culprits;
+    private Map<Set<PromptPart>, CrashAttribution> attributions() {
+        Map<Set<PromptPart>, CrashAttribution> known = attributions;
         if (known == null) {
-            known = findCulprits();
-            culprits = known;
+            known = CrashAttribution.find(evidence);
+            attributions = known;
         }
         return known;
     }
 
-    private Map<Set<PromptPart>, Culprit> findCulprits() {
-        Map<PromptPart, Integer> strengths = new LinkedHashMap<>();
-        evidence.forEach((part, known) -> strengths.put(part, known.strength()));
-        Map<Set<PromptPart>, Culprit> found = new LinkedHashMap<>();
-        Set<Target.Key> targets = new HashSet<>();
-        strengths.forEach((part, strength) -> {
-            if (strength >= DECISIVE_STRENGTH) {
-                targets.addAll(countedTargets(part));
-            }
-        });
-        for (Target.Key target : targets) {
-            Set<PromptPart> suspects = likeliestSuspects(target, strengths);
-            PromptPart first = suspects.iterator().next();
-            int decisive = isFamiliar(first) ? DECISIVE_STRENGTH_IF_FAMILIAR : DECISIVE_STRENGTH;
-            int strength = strengths.getOrDefault(first, 0);
-            if (strength >= decisive) {
-                found.computeIfAbsent(suspects, parts -> new Culprit(strength - decisive, new HashSet<>()))
-                        .targets()
-                        .add(target);
-            }
-        }
-        return found;
-    }
-
-    /** Returns the strongest suspects of a crash, without the familiar ones unless all are. */
-    private Set<PromptPart> likeliestSuspects(Target.Key target, Map<PromptPart, Integer> strengths) {
-        Set<PromptPart> strongest = strongestSuspects(target, strengths);
-        Set<PromptPart> unfamiliar =
-                strongest.stream().filter(part -> !isFamiliar(part)).collect(toCollection(LinkedHashSet::new));
-        return unfamiliar.isEmpty() ? strongest : unfamiliar;
-    }
-
-    private Set<Target.Key> countedTargets(PromptPart part) {
-        Evidence known = evidence.get(part);
-        return known == null
-                ? Set.of()
-                : known.crashes.keySet().stream().filter(known::counts).collect(toCollection(LinkedHashSet::new));
-    }
-
-    private Set<PromptPart> strongestSuspects(Target.Key target, Map<PromptPart, Integer> strengths) {
-        Set<PromptPart> strongest = new LinkedHashSet<>();
-        int best = 0;
-        for (Map.Entry<PromptPart, Evidence> entry : evidence.entrySet()) {
-            int strength = strengths.getOrDefault(entry.getKey(), 0);
-            if (!entry.getValue().counts(target) || strength < best) {
-                continue;
-            }
-            if (strength > best) {
-                strongest.clear();
-                best = strength;
-            }
-            strongest.add(entry.getKey());
-        }
-        return strongest;
-    }
-
-    private void onChanged(Evidence changed) {
-        changed.strength = UNKNOWN;
-        culprits = null;
-    }
-
     /** Removes the part with the weakest evidence, of those the one not seen for the longest time. */
     private void makeRoom() {
         if (evidence.size() < MAX_PARTS) {
             return;
         }
         PromptPart weakest = evidence.entrySet().stream()
-                .min(Comparator.<Map.Entry<PromptPart, Evidence>>comparingInt(
+                .min(Comparator.<Map.Entry<PromptPart, PartEvidence>>comparingInt(
                                 entry -> entry.getValue().strength())
-                        .thenComparingLong(entry -> entry.getValue().lastSeenNanos))
+                        .thenComparingLong(entry -> entry.getValue().lastSeenNanos()))
                 .map(Map.Entry::getKey)
                 .orElseThrow();
         evidence.remove(weakest);
-        culprits = null;
+        attributions = null;
     }
 }
--- a/proxy/src/main/java/firwheel/proxy/crash/PartReport.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartReport.java
@@ -19,9 +19,4 @@
         RequestFingerprint request,
         boolean familiar,
         boolean cleared,
-        Duration lastSeenAge) {
-    /** Returns this report, stating that targets had responded to the part before. */
-    public PartReport withFamiliarPart() {
-        return new PartReport(part, target, request, true, cleared, lastSeenAge);
-    }
-}
+        Duration lastSeenAge) {}
--- a/proxy/src/main/java/firwheel/proxy/server/PartGuard.java
+++ b/proxy/src/main/java/firwheel/proxy/server/PartGuard.java
@@ -9,7 +9,6 @@
 import firwheel.proxy.crash.PromptPart;
 import firwheel.proxy.crash.Suspect;
 import firwheel.proxy.targets.Target;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -98,7 +97,6 @@
     /** Merges what another entry knows; returns the targets of crashes that were not known. */
     Set<Target.Key> onPeerReports(List<PartReport> reports) {
         Set<Target.Key> crashed = new LinkedHashSet<>();
-        List<PartReport> familiar = new ArrayList<>();
         for (PartReport report : reports) {
             if (ledger.merge(report)) {
                 if (report.cleared()) {
@@ -107,15 +105,9 @@
                     logCrash(report, "peer");
                     crashed.add(report.target());
                 }
-                if (!report.familiar() && ledger.isFamiliar(report.part())) {
-                    familiar.add(report.withFamiliarPart());
-                }
             }
         }
         logRefusals();
-        if (!familiar.isEmpty()) {
-            reporter.accept(familiar);
-        }
         return crashed;
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -113,6 +113,10 @@
 
     /** Ends the request because the process is about to end. */
     void onDrainLimit() {
+        if (finished) {
+            log.notRead();
+            return;
+        }
         TargetAttempt attempt = currentAttempt;
         fail(ResultCode.DRAINING, "not complete at the drain limit", Reason.PROCESS_NOT_READY);
         if (attempt != null && !(route != null && route.kind() == RequestKind.AT_MOST_ONCE)) {
--- a/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestLog.java
@@ -106,6 +106,14 @@
                 timing.longestPauseMillis());
     }
 
+    /** Logs that the client has not read its response to the end. */
+    void notRead() {
+        logger.atInfo()
+                .addKeyValue("request", attemptId)
+                .addKeyValue("afterMillis", elapsedMillis.getAsLong())
+                .log("response not read by the client at the drain limit");
+    }
+
     void targetUnreachable(Target target, Throwable cause) {
         logger.atInfo()
                 .addKeyValue("request", attemptId)
--- a/proxy/src/test/java/firwheel/proxy/crash/PartLedgerTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/PartLedgerTest.java
@@ -8,14 +8,17 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class PartLedgerTest {
     private static final Duration LONGEST_TRIAL_DELAY = Duration.ofMinutes(6);
@@ -23,140 +26,80 @@
     private final ManualTimeSource time = new ManualTimeSource(Instant.EPOCH);
     private final PartLedger ledger = new PartLedger(time);
 
-    private static Set<PromptPart> parts(String... ids) {
-        return Arrays.stream(ids).map(id -> new PromptPart("svc", id)).collect(Collectors.toSet());
+    private static Set<PromptPart> parts(String ids) {
+        return Stream.of(ids.split("\\+", -1))
+                .map(id -> new PromptPart("svc", id))
+                .collect(Collectors.toSet());
     }
 
-    private static Target.Key target(int number) {
-        return new Target.Key("i-" + number, 1);
+    /** Plays events: {@code TARGET:REQUEST:PART+PART} is a crash, {@code ok:PART+PART} a response. */
+    private List<PartReport> play(String events) {
+        List<PartReport> reports = new ArrayList<>();
+        for (String event : events.split(" ", -1)) {
+            String[] fields = event.split(":", -1);
+            reports.addAll(
+                    fields[0].equals("ok")
+                            ? ledger.clear(parts(fields[1]))
+                            : ledger.recordCrash(
+                                    new Suspect(new RequestFingerprint(fields[1]), parts(fields[2])),
+                                    new Target.Key(fields[0], 1)));
+        }
+        return reports;
     }
 
-    private static Suspect suspect(String request, String... ids) {
-        return new Suspect(new RequestFingerprint(request), parts(ids));
+    @ParameterizedTest(name = "{0}: {2} is {3}")
+    @CsvSource({
+        "one crash, 1:r1:shared+bad, shared+bad, SUSPECTED",
+        "two requests, 1:r1:s1+bad 2:r2:s2+bad, bad, REFUSED",
+        "two requests, 1:r1:s1+bad 2:r2:s2+bad, s3+bad, REFUSED",
+        "two requests, 1:r1:s1+bad 2:r2:s2+bad, s1, SUSPECTED",
+        "two requests, 1:r1:s1+bad 2:r2:s2+bad, s3, UNSUSPECTED",
+        "two requests at one crash, 1:r1:bad 1:r2:bad, bad, SUSPECTED",
+        "parts that occur together, 1:r1:s+bad 2:r2:s+bad, s+bad, REFUSED",
+        "parts that occur together, 1:r1:s+bad 2:r2:s+bad, s, SUSPECTED",
+        "parts that occur together, 1:r1:s+bad 2:r2:s+bad, other+bad, SUSPECTED",
+        "one of them cleared, 1:r1:s+bad 2:r2:s+bad ok:s, s, UNSUSPECTED",
+        "one of them cleared, 1:r1:s+bad 2:r2:s+bad ok:s, other+bad, REFUSED",
+        "one request again and again, 1:deadly:s 1:beside:s 2:deadly:s 3:deadly:s, s, SUSPECTED",
+        "beside the cause, 1:r1:bad 1:b1:popular 2:r2:bad 2:b2:popular 3:r3:bad, popular, SUSPECTED",
+        "beside the cause, 1:r1:bad 1:b1:popular 2:r2:bad 2:b2:popular 3:r3:bad, bad, REFUSED",
+        "response between the crashes, 1:r1:popular ok:popular 2:r2:popular, popular, SUSPECTED",
+        "familiar beside the cause, ok:s+popular 1:r1:s+bad 1:b1:popular 2:r2:s+bad 2:b2:popular, bad, REFUSED",
+        "familiar beside the cause, ok:s+popular 1:r1:s+bad 1:b1:popular 2:r2:s+bad 2:b2:popular, s, SUSPECTED",
+        "familiar beside the cause, ok:s+popular 1:r1:s+bad 1:b1:popular 2:r2:s+bad 2:b2:popular, popular, SUSPECTED",
+        "familiar cause, ok:bad 1:r1:bad 2:r2:bad, bad, SUSPECTED",
+        "familiar cause, ok:bad 1:r1:bad 2:r2:bad 3:r3:bad, bad, REFUSED",
+        "familiar since it was cleared, 1:r1:bad ok:bad 2:r2:bad 3:r3:bad, bad, SUSPECTED"
+    })
+    void judgesByTheEvidence(String name, String events, String judged, Verdict verdict) {
+        play(events);
+
+        assertThat(ledger.judge(parts(judged))).as(name).isEqualTo(verdict);
     }
 
-    private List<PartReport> crash(int target, String request, String... ids) {
-        return ledger.recordCrash(suspect(request, ids), target(target));
-    }
+    @Test
+    void holdsEvidenceForOneServiceOnly() {
+        play("1:r1:bad 2:r2:bad");
 
-    private Verdict judge(String... ids) {
-        return ledger.judge(parts(ids));
+        assertThat(ledger.judge(Set.of(new PromptPart("other", "bad")))).isEqualTo(Verdict.UNSUSPECTED);
     }
 
-    @Nested
-    final class Verdicts {
-        @Test
-        void refuseAPartUnderWhichTwoRequestsCrashedTargets() {
-            crash(1, "r1", "shared-1", "bad");
-            assertThat(judge("shared-1", "bad")).isEqualTo(Verdict.SUSPECTED);
-
-            crash(2, "r2", "shared-2", "bad");
-
-            assertThat(judge("bad")).isEqualTo(Verdict.REFUSED);
-            assertThat(judge("shared-3", "bad")).isEqualTo(Verdict.REFUSED);
-            assertThat(judge("shared-1")).isEqualTo(Verdict.SUSPECTED);
-            assertThat(judge("shared-3")).isEqualTo(Verdict.UNSUSPECTED);
-        }
-
-        @Test
-        void refuseOnlyRequestsWithAllPartsThatCannotBeDistinguished() {
-            crash(1, "r1", "shared", "bad");
-            crash(2, "r2", "shared", "bad");
-
-            assertThat(judge("shared", "bad")).isEqualTo(Verdict.REFUSED);
-            assertThat(judge("shared")).isEqualTo(Verdict.SUSPECTED);
-            assertThat(judge("other", "bad")).isEqualTo(Verdict.SUSPECTED);
-
-            ledger.clear(parts("shared"));
-
-            assertThat(judge("shared")).isEqualTo(Verdict.UNSUSPECTED);
-            assertThat(judge("other", "bad")).isEqualTo(Verdict.REFUSED);
-        }
-
-        @Test
-        void spareAPartWhoseCrashesAreAllOfOneRequest() {
-            crash(1, "deadly", "shared");
-            crash(1, "beside", "shared");
-            crash(2, "deadly", "shared");
-            crash(3, "deadly", "shared");
-
-            assertThat(judge("shared")).isEqualTo(Verdict.SUSPECTED);
-        }
-
-        @Test
-        void spareAPartThatWasBesideTheCause() {
-            crash(1, "r1", "bad");
-            crash(1, "beside-1", "popular");
-            crash(2, "r2", "bad");
-            crash(2, "beside-2", "popular");
-            crash(3, "r3", "bad");
-
-            assertThat(judge("popular")).isEqualTo(Verdict.SUSPECTED);
-            assertThat(judge("bad")).isEqualTo(Verdict.REFUSED);
-        }
-
-        @Test
-        void spareAPartThatTargetsRespondedToBetweenTheCrashes() {
-            crash(1, "r1", "popular");
-            ledger.clear(parts("popular"));
-            crash(2, "r2", "popular");
-
-            assertThat(judge("popular")).isEqualTo(Verdict.SUSPECTED);
-        }
-
-        @Test
-        void preferPartsThatNoTargetHadRespondedToBefore() {
-            ledger.clear(parts("shared", "popular"));
-            crash(1, "r1", "shared", "bad");
-            crash(1, "beside-1", "popular");
-            crash(2, "r2", "shared", "bad");
-            crash(2, "beside-2", "popular");
-
-            assertThat(judge("bad")).isEqualTo(Verdict.REFUSED);
-            assertThat(judge("shared")).isEqualTo(Verdict.SUSPECTED);
-            assertThat(judge("popular")).isEqualTo(Verdict.SUSPECTED);
-        }
-
-        @Test
-        void refuseAPartThatTargetsHadRespondedToAfterThreeRequests() {
-            ledger.clear(parts("now-bad"));
-            crash(1, "r1", "now-bad");
-            crash(2, "r2", "now-bad");
-            assertThat(judge("now-bad")).isEqualTo(Verdict.SUSPECTED);
-
-            crash(3, "r3", "now-bad");
+    @Test
+    void explainsTheCrashesOfARefusedPart() {
+        play("1:r1:bad");
+        assertThat(ledger.explains(new Target.Key("1", 1))).isFalse();
 
-            assertThat(judge("now-bad")).isEqualTo(Verdict.REFUSED);
-        }
-
-        @Test
-        void holdForOneServiceOnly() {
-            crash(1, "r1", "bad");
-            crash(2, "r2", "bad");
-
-            assertThat(ledger.judge(Set.of(new PromptPart("other", "bad")))).isEqualTo(Verdict.UNSUSPECTED);
-        }
-
-        @Test
-        void explainTheCrashesOfARefusedPart() {
-            crash(1, "r1", "bad");
-            assertThat(ledger.explains(target(1))).isFalse();
-
-            crash(2, "r2", "bad");
+        play("2:r2:bad");
 
-            assertThat(ledger.explains(target(1))).isTrue();
-            assertThat(ledger.explains(target(3))).isFalse();
-        }
+        assertThat(ledger.explains(new Target.Key("1", 1))).isTrue();
+        assertThat(ledger.explains(new Target.Key("3", 1))).isFalse();
     }
 
     @Nested
     final class Reports {
         @Test
         void leadToTheSameVerdictsInAnyOrderAndRepeated() {
-            List<PartReport> reports = new ArrayList<>(crash(1, "r1", "shared", "bad"));
-            reports.addAll(crash(2, "r2", "shared", "bad"));
-            reports.addAll(ledger.clear(parts("shared")));
-            reports.add(crash(3, "r3", "session").get(0).withFamiliarPart());
+            List<PartReport> reports = play("ok:seen 1:r1:shared+bad 2:r2:shared+bad ok:shared 3:r3:seen");
             reports.addAll(List.copyOf(reports));
 
             for (int seed = 0; seed < 50; seed++) {
@@ -166,111 +109,86 @@
 
                 assertThat(other.judge(parts("bad"))).as("seed %d", seed).isEqualTo(Verdict.REFUSED);
                 assertThat(other.judge(parts("shared"))).as("seed %d", seed).isEqualTo(Verdict.UNSUSPECTED);
-                assertThat(other.isFamiliar(new PromptPart("svc", "session")))
+                assertThat(other.isFamiliar(new PromptPart("svc", "seen")))
                         .as("seed %d", seed)
                         .isTrue();
             }
         }
 
         @Test
-        void putRefusedPartsFirst() {
+        void areAllRepeatedInTurnHalfOfThemOfPartsWithSeveralRequests() {
             for (int i = 0; i < 40; i++) {
-                crash(9, "beside-" + i, "session-" + i);
+                play("9:beside-" + i + ":session-" + i);
+            }
+            play("1:r1:bad 2:r2:bad 1:r1:worse 2:r2:worse");
+            Set<PartReport> repeated = new HashSet<>();
+
+            for (int i = 0; i < 20; i++) {
+                List<PartReport> reports = ledger.nextReports(4);
+                repeated.addAll(reports);
+                assertThat(reports.subList(0, 2))
+                        .map(report -> report.part().id())
+                        .containsExactlyInAnyOrder("bad", "worse");
             }
-            crash(1, "r1", "bad");
-            crash(2, "r2", "bad");
 
-            assertThat(ledger.nextReports(2))
-                    .allMatch(report -> report.part().id().equals("bad"));
+            assertThat(repeated).hasSize(40 + 4);
         }
 
         @Test
         void ofNewCrashesReplaceThoseThatAPartWasClearedOf() {
             for (int i = 0; i < 20; i++) {
-                crash(i, "r" + i, "popular");
-                ledger.clear(parts("popular"));
+                play(i + ":r" + i + ":popular ok:popular");
             }
-            crash(20, "r20", "popular");
-            crash(21, "r21", "popular");
-            crash(22, "r22", "popular");
 
-            assertThat(judge("popular")).isEqualTo(Verdict.REFUSED);
+            play("20:r20:popular 21:r21:popular 22:r22:popular");
+
+            assertThat(ledger.judge(parts("popular"))).isEqualTo(Verdict.REFUSED);
         }
 
         @Test
         void areBoundedByRemovingTheWeakestEvidence() {
-            crash(1, "r1", "bad");
-            crash(2, "r2", "bad");
+            play("1:r1:bad 2:r2:bad");
             for (int i = 0; i < 5_000; i++) {
-                crash(9, "beside-" + i, "session-" + i);
+                play("9:beside-" + i + ":session-" + i);
             }
 
             assertThat(ledger.size()).isEqualTo(1_024);
-            assertThat(judge("bad")).isEqualTo(Verdict.REFUSED);
+            assertThat(ledger.judge(parts("bad"))).isEqualTo(Verdict.REFUSED);
         }
     }
 
-    @Nested
-    final class Trials {
-        @Test
-        void areFarApartAndEndAfterTheFourthRequest() {
-            crash(1, "r1", "bad");
-            crash(2, "r2", "bad");
-            assertThat(ledger.tryBeginTrial(parts("bad"))).isFalse();
-
-            for (int request = 3; request <= 4; request++) {
-                time.advance(LONGEST_TRIAL_DELAY);
-                assertThat(ledger.tryBeginTrial(parts("bad")))
-                        .as("request %d", request)
-                        .isTrue();
-                assertThat(ledger.tryBeginTrial(parts("bad")))
-                        .as("request %d", request)
-                        .isFalse();
-                crash(request, "r" + request, "bad");
-            }
-
+    @ParameterizedTest
+    @CsvSource({"1:r1:bad 2:r2:bad, 3", "ok:bad 1:r1:bad 2:r2:bad 3:r3:bad, 4"})
+    void triesARefusedPartTwiceAtMostAndFarApart(String events, int nextTarget) {
+        play(events);
+        assertThat(ledger.tryBeginTrial(parts("bad"))).isFalse();
+        time.advance(Duration.ofSeconds(31));
+
+        for (int target = nextTarget; target < nextTarget + 2; target++) {
+            assertThat(ledger.tryBeginTrial(parts("bad")))
+                    .as("target %d", target)
+                    .isTrue();
+            assertThat(ledger.tryBeginTrial(parts("bad")))
+                    .as("target %d", target)
+                    .isFalse();
+            play(target + ":r" + target + ":bad");
             time.advance(LONGEST_TRIAL_DELAY);
-            assertThat(ledger.tryBeginTrial(parts("bad"))).isFalse();
-        }
-
-        @Test
-        void areDueAfterTheSameTimeForPartsThatTargetsHadRespondedTo() {
-            ledger.clear(parts("now-bad"));
-            crash(1, "r1", "now-bad");
-            crash(2, "r2", "now-bad");
-            crash(3, "r3", "now-bad");
-
-            time.advance(Duration.ofSeconds(31));
-
-            assertThat(ledger.tryBeginTrial(parts("now-bad"))).isTrue();
         }
 
-        @Test
-        void endTheRefusalWhenATargetResponds() {
-            crash(1, "r1", "sound");
-            crash(2, "r2", "sound");
-            assertThat(judge("sound")).isEqualTo(Verdict.REFUSED);
-
-            ledger.clear(parts("sound"));
-
-            assertThat(judge("sound")).isEqualTo(Verdict.UNSUSPECTED);
-        }
+        assertThat(ledger.tryBeginTrial(parts("bad"))).isFalse();
     }
 
-    @Nested
-    final class Expiry {
-        @Test
-        void removesSuspectedPartsAnHourAfterTheyWereLastSeen() {
-            crash(1, "r1", "bad");
-            time.advance(Duration.ofMinutes(59));
-            ledger.recordSeen(parts("bad"));
-            time.advance(Duration.ofMinutes(59));
-            assertThat(ledger.removeExpired()).isEmpty();
+    @Test
+    void forgetsSuspectedPartsAnHourAfterTheyWereLastSeen() {
+        play("1:r1:bad");
+        time.advance(Duration.ofMinutes(59));
+        ledger.recordSeen(parts("bad"));
+        time.advance(Duration.ofMinutes(59));
+        assertThat(ledger.removeExpired()).isEmpty();
 
-            time.advance(Duration.ofMinutes(2));
+        time.advance(Duration.ofMinutes(2));
 
-            assertThat(ledger.removeExpired()).containsExactlyElementsOf(parts("bad"));
-            assertThat(ledger.isEmpty()).isTrue();
-        }
+        assertThat(ledger.removeExpired()).containsExactlyElementsOf(parts("bad"));
+        assertThat(ledger.isEmpty()).isTrue();
     }
 }
