Hold each rollout of a group at a step of its own, and repair split maps

Cause: an order to end a hold (`go`) is matched by its step alone, and the step of an idle group stands still, so each rollout held at the same one. A late `go` of an aborted rollout ended the hold of the next one while some ranks were armed. The missing hold was then taken for the commit point, and different maps were expected to pass by themselves.

Change: - HoldSteps hands out each step once in an epoch.

MapRolloutTest: calls take the steps of holds; no assertion changed.

--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -17,9 +17,17 @@
  *
  * <p>Each call of {@link #nextOrders} takes rank views that were read after the earlier orders were answered or timed
  * out, and returns the orders to send. While only the hold rank decides what follows, the views of the others may be
- * older ones, so that a switch does not wait for readings of the whole group. Orders may be lost, duplicated or delayed. A delayed order to arm a rank is
- * invalidated by preparing a newer version there: engines arm only the version that they prepared last, and prepare
- * each version once.
+ * older ones, so that a switch does not wait for readings of the whole group.
+ *
+ * <p>Orders may be lost, duplicated or delayed until after later ones. What makes a delayed order harmless:
+ *
+ * <ul>
+ *   <li>PREPARE and DISARM: the version. Each rollout has its own, and engines prepare rising versions only.
+ *   <li>ARM: the version. Engines arm only the version that they prepared last, so preparing a newer one invalidates it.
+ *   <li>RELEASE: the step. No two rollouts hold at the same one ({@link HoldSteps}).
+ *   <li>HOLD: nothing, since an engine that holds no step takes it. The hold is seen in the next views and released; no
+ *       rank is armed for its step.
+ * </ul>
  */
 public final class MapRollout {
     /** Phase of a rollout. */
@@ -39,7 +47,12 @@
     private static final int[][][] NO_PLACEMENT = {};
     private static final long PREPARE_RETRY_MILLIS = 300; // longer than an engine takes to report a loaded version
 
+    private static final int REPAIR_HOLD_RANK = 0; // other rollouts do not release this rank
+
     private RolloutLimits limits;
+    private final HoldSteps holdSteps;
+    private final boolean repairs;
+    private final boolean keepsHold;
     private final int[][][] newPlacement;
     private final int[][][] currentPlacement;
     private final long epoch;
@@ -53,9 +66,14 @@
     private Phase phase;
     private long phaseStartMillis;
     private long holdingStartMillis;
+    private long refusedHolds;
+    private boolean holdLost;
 
     private MapRollout(
             RolloutLimits limits,
+            HoldSteps holdSteps,
+            boolean repairs,
+            boolean keepsHold,
             int[][][] newPlacement,
             int[][][] currentPlacement,
             List<RankView> views,
@@ -64,6 +82,9 @@
             Phase phase,
             long nowMillis) {
         this.limits = limits;
+        this.holdSteps = holdSteps;
+        this.repairs = repairs;
+        this.keepsHold = keepsHold;
         this.newPlacement = newPlacement;
         this.currentPlacement = currentPlacement;
         this.version = version;
@@ -82,6 +103,7 @@
     /**
      * Starts the rollout of a map.
      *
+     * @param holdSteps steps of the holds of all rollouts of the group
      * @param views views of all ranks, in rank order
      * @param version version of the map, above all versions used by any controller; {@code version + 1} is used to
      *     abort
@@ -91,6 +113,7 @@
      */
     public static MapRollout start(
             RolloutLimits limits,
+            HoldSteps holdSteps,
             List<RankView> views,
             long version,
             int holdRank,
@@ -98,19 +121,67 @@
             int[][][] currentPlacement,
             long nowMillis) {
         return new MapRollout(
-                limits, newPlacement, currentPlacement, views, version, holdRank, Phase.PREPARING, nowMillis);
+                limits,
+                holdSteps,
+                false,
+                false,
+                newPlacement,
+                currentPlacement,
+                views,
+                version,
+                holdRank,
+                Phase.PREPARING,
+                nowMillis);
+    }
+
+    /**
+     * Starts to bring ranks that use different maps to the same one. The group is held as soon as possible, so that it
+     * does not run more steps with different maps, and stays held if the rollout is aborted.
+     *
+     * @param version version above all versions used by any controller; {@code version + 1} is used to abort
+     * @param placement map for all ranks: experts by layer, rank and slot
+     */
+    public static MapRollout repair(
+            RolloutLimits limits,
+            HoldSteps holdSteps,
+            List<RankView> views,
+            long version,
+            int[][][] placement,
+            long nowMillis) {
+        return new MapRollout(
+                limits,
+                holdSteps,
+                true,
+                true,
+                placement,
+                placement,
+                views,
+                version,
+                REPAIR_HOLD_RANK,
+                Phase.PREPARING,
+                nowMillis);
     }
 
     /**
      * Aborts a rollout that another controller may have left unfinished, and invalidates its orders that are still in
-     * transit to the ranks.
+     * transit to the ranks. A group whose ranks use different maps stays held if it was.
      *
      * @param version version above all versions used by earlier controllers
      */
     public static MapRollout takeOver(
-            RolloutLimits limits, List<RankView> views, long version, int[][][] currentPlacement, long nowMillis) {
+            RolloutLimits limits,
+            HoldSteps holdSteps,
+            List<RankView> views,
+            long version,
+            int[][][] currentPlacement,
+            long nowMillis) {
+        boolean mapsDiffer =
+                views.stream().mapToLong(RankView::mapVersion).distinct().count() > 1;
         return new MapRollout(
                 limits,
+                holdSteps,
+                false,
+                mapsDiffer,
                 currentPlacement,
                 currentPlacement,
                 views,
@@ -131,7 +202,8 @@
 
     /** Returns whether the group may be blocked by the hold of this rollout. */
     public boolean mayBlockGroup() {
-        return phase == Phase.HOLDING
+        return (repairs && !finished())
+                || phase == Phase.HOLDING
                 || phase == Phase.ARMING
                 || phase == Phase.COMMITTING
                 || phase == Phase.RELEASING
@@ -152,6 +224,14 @@
         limits = newLimits;
     }
 
+    /**
+     * Returns whether a rank was seen armed while the group was not held and the hold rank was not armed, so that a step
+     * could have started with different maps.
+     */
+    public boolean holdLost() {
+        return holdLost;
+    }
+
     /** Returns the version being rolled out. */
     public long version() {
         return version;
@@ -185,6 +265,7 @@
                 return List.of();
             }
         }
+        holdSteps.observe(views);
         boolean holdRankDecided = decidingRank() != RankView.NONE;
         List<RankOrder> orders = nextOrdersOfPhase(views, nowMillis);
         // To abort, the state of all ranks must be known.
@@ -204,12 +285,16 @@
     }
 
     private List<RankOrder> prepare(List<RankView> views, long nowMillis) {
-        List<RankOrder> orders = new ArrayList<>();
+        List<RankOrder> orders = repairs ? holdNextStep(views) : new ArrayList<>();
+        boolean releasesHolds = !repairs || views.get(holdRank).isHolding();
         boolean allLoaded = true;
         for (RankView view : views) {
-            if (view.isHolding()) {
+            if (view.isHolding() && releasesHolds && !(repairs && view.rank() == holdRank)) {
                 orders.add(release(view));
             }
+            if (repairs && view.isArmed()) {
+                orders.add(disarm(view));
+            }
             allLoaded &= view.preparedVersion() == version;
             boolean due = prepareSentMillis[view.rank()] == RankView.NONE
                     || nowMillis - prepareSentMillis[view.rank()] > PREPARE_RETRY_MILLIS;
@@ -228,6 +313,21 @@
         return orders;
     }
 
+    /** Holds a group with different maps as soon as possible; it switches to the new map at the held step. */
+    private List<RankOrder> holdNextStep(List<RankView> views) {
+        RankView holdView = views.get(holdRank);
+        if (holdView.isHolding()) {
+            step = holdView.heldStep();
+            return new ArrayList<>();
+        }
+        long lastStartedStep = lastStartedStep(views);
+        if (step <= lastStartedStep) {
+            refusedHolds++;
+            step = lastStartedStep + refusedHolds;
+        }
+        return new ArrayList<>(List.of(order(holdView, Action.HOLD, RankView.NONE, step, NO_PLACEMENT)));
+    }
+
     private List<RankOrder> hold(List<RankView> views, long nowMillis) {
         RankView holdView = views.get(holdRank);
         if (step != RankView.NONE && holdView.heldStep() == step) {
@@ -237,9 +337,15 @@
         if (hasElapsed(limits.holdLimit(), nowMillis)) {
             return startAbort(views, nowMillis);
         }
+        if (repairs) {
+            return holdNextStep(views);
+        }
+        if (holdView.isHolding()) { // by a delayed order; a rank holds one step at a time
+            return List.of(release(holdView));
+        }
         long lastStartedStep = lastStartedStep(views);
         if (step == RankView.NONE || lastStartedStep >= step) {
-            step = lastStartedStep + leadSteps(lastStartedStep, nowMillis);
+            step = holdSteps.next(lastStartedStep + leadSteps(lastStartedStep, nowMillis));
         }
         return List.of(order(holdView, Action.HOLD, RankView.NONE, step, NO_PLACEMENT));
     }
@@ -326,19 +432,21 @@
                 orders.add(invalidateArm(view));
             }
         }
-        return orders.isEmpty() ? List.of(release(holdView)) : orders;
+        if (orders.isEmpty() && keepsHold) {
+            enter(Phase.ABORTED, nowMillis);
+        }
+        return orders.isEmpty() && !keepsHold ? List.of(release(holdView)) : orders;
     }
 
     /** If no rank holds the group, a rank can be armed only after the commit point, so armed ranks must stay armed. */
     private List<RankOrder> abortWithoutHold(List<RankView> views, long nowMillis) {
-        List<RankOrder> orders = new ArrayList<>();
-        for (RankView view : views) {
-            if (view.isArmed()) {
-                return List.of();
-            }
-            if (mayBeArmed(view)) {
-                orders.add(invalidateArm(view));
-            }
+        List<RankView> armed = views.stream().filter(RankView::isArmed).toList();
+        List<RankOrder> orders = views.stream()
+                .filter(view -> !view.isArmed() && mayBeArmed(view))
+                .map(this::invalidateArm)
+                .toList();
+        if (!armed.isEmpty()) {
+            return hasCommitted(armed.get(0).armedVersion(), views) ? List.of() : restoreHold(views, armed, orders);
         }
         if (orders.isEmpty()) {
             enter(Phase.ABORTED, nowMillis);
@@ -346,6 +454,27 @@
         return orders;
     }
 
+    private static boolean hasCommitted(long version, List<RankView> views) {
+        return views.stream().allMatch(view -> view.armedVersion() == version || view.mapVersion() == version);
+    }
+
+    /**
+     * Holds the group again before the step at which only some of its ranks would switch. These are disarmed once the
+     * others can no longer be armed. The step is not a new one, as a later one would not stop them.
+     */
+    private List<RankOrder> restoreHold(List<RankView> views, List<RankView> armed, List<RankOrder> invalidations) {
+        holdLost = true;
+        List<RankOrder> orders = new ArrayList<>(invalidations);
+        long armedStep = armed.stream().mapToLong(RankView::armedStep).min().orElseThrow();
+        if (armedStep > lastStartedStep(views)) {
+            orders.add(order(views.get(holdRank), Action.HOLD, RankView.NONE, armedStep, NO_PLACEMENT));
+        }
+        if (invalidations.isEmpty()) {
+            armed.forEach(view -> orders.add(disarm(view)));
+        }
+        return orders;
+    }
+
     private RankOrder disarm(RankView view) {
         return order(view, Action.DISARM, view.armedVersion(), RankView.NONE, NO_PLACEMENT);
     }
@@ -380,6 +509,6 @@
 
     @Override
     public String toString() {
-        return phase + " of version " + version + " at step " + step;
+        return (repairs ? "repair, " : "") + phase + " of version " + version + " at step " + step;
     }
 }
--- a/experts/src/test/java/firwheel/experts/rollout/GroupModel.java
+++ b/experts/src/test/java/firwheel/experts/rollout/GroupModel.java
@@ -39,6 +39,12 @@
         return views;
     }
 
+    /** Puts a rank on another map than the others. */
+    void setMap(int rank, long version) {
+        ranks[rank][MAP] = version;
+        ranks[rank][NEWEST] = version;
+    }
+
     boolean sameMaps() {
         return Arrays.stream(ranks).mapToLong(rank -> rank[MAP]).distinct().count() == 1;
     }
--- a/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
+++ b/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
@@ -21,8 +21,8 @@
         @Test
         void switchesAllRanksAtTheSameStep() {
             GroupModel group = new GroupModel(3);
-            MapRollout rollout =
-                    MapRollout.start(LIMITS, group.views(), 1, group.views().size() - 1, MAP, MAP, 0);
+            MapRollout rollout = MapRollout.start(
+                    LIMITS, new HoldSteps(), group.views(), 1, group.views().size() - 1, MAP, MAP, 0);
             for (int round = 0; round < 20 && !rollout.finished(); round++) {
                 rollout.nextOrders(group.views(), 0).forEach(group::execute);
                 group.startStep();
@@ -40,7 +40,7 @@
         @Test
         void readsAllRanksOnlyOnceAfterTheHoldWasOrdered() {
             GroupModel group = new GroupModel(3);
-            MapRollout rollout = MapRollout.start(LIMITS, group.views(), 1, 2, MAP, MAP, 0);
+            MapRollout rollout = MapRollout.start(LIMITS, new HoldSteps(), group.views(), 1, 2, MAP, MAP, 0);
             List<RankView> views = group.views();
             int readingsOfAll = 0;
             while (!rollout.finished()) {
@@ -65,8 +65,8 @@
         @Test
         void endsWhenGroupEpochChanges() {
             GroupModel group = new GroupModel(2);
-            MapRollout rollout =
-                    MapRollout.start(LIMITS, group.views(), 1, group.views().size() - 1, MAP, MAP, 0);
+            MapRollout rollout = MapRollout.start(
+                    LIMITS, new HoldSteps(), group.views(), 1, group.views().size() - 1, MAP, MAP, 0);
             RankView view = group.views().get(0);
             RankView viewInNewEpoch = new RankView(0, 2, true, 0, 0, -1, -1, -1, -1);
 
@@ -86,7 +86,7 @@
             RolloutLimits limits = new RolloutLimits(
                     MAX_LEAD_STEPS, LEAD_TIME, Duration.ofSeconds(4), Duration.ofSeconds(1), Duration.ofSeconds(1));
             GroupModel group = new GroupModel(2);
-            MapRollout rollout = MapRollout.start(limits, group.views(), 1, 1, MAP, MAP, 0);
+            MapRollout rollout = MapRollout.start(limits, new HoldSteps(), group.views(), 1, 1, MAP, MAP, 0);
             rollout.nextOrders(group.views(), 0).forEach(group::execute);
             for (int started = 0; started < observedSteps; started++) {
                 group.startStep();
@@ -212,8 +212,8 @@
             Run(List<Integer> choices) {
                 this.choices = choices;
                 group.setIgnoresHolds(ignoresHolds);
-                rollout =
-                        MapRollout.start(LIMITS, group.views(), 1, group.views().size() - 1, MAP, MAP, 0);
+                rollout = MapRollout.start(
+                        LIMITS, new HoldSteps(), group.views(), 1, group.views().size() - 1, MAP, MAP, 0);
             }
 
             private int choose(int optionCount) {
@@ -241,8 +241,8 @@
                 if (!takenOver && round > 0 && choose(2) == 1) {
                     takenOver = true;
                     rollout = skipsTakeoverAbort
-                            ? MapRollout.start(LIMITS, group.views(), 1_000, 1, MAP, MAP, round)
-                            : MapRollout.takeOver(LIMITS, group.views(), 1_000, MAP, round);
+                            ? MapRollout.start(LIMITS, new HoldSteps(), group.views(), 1_000, 1, MAP, MAP, round)
+                            : MapRollout.takeOver(LIMITS, new HoldSteps(), group.views(), 1_000, MAP, round);
                 }
                 for (RankOrder order : rollout.nextOrders(readViews(), round)) {
                     sendOrDelay(order);
@@ -289,7 +289,8 @@
             private void finishWithoutFaults() {
                 for (int round = 0; round < 20; round++) {
                     if (rollout.finished() && group.views().stream().anyMatch(RankView::isHolding)) {
-                        rollout = MapRollout.takeOver(LIMITS, group.views(), 2_000 + round, MAP, 100L + round);
+                        rollout = MapRollout.takeOver(
+                                LIMITS, new HoldSteps(), group.views(), 2_000 + round, MAP, 100L + round);
                     }
                     rollout.nextOrders(readViews(), 100L + round).forEach(group::execute);
                     if (!delayedOrders.isEmpty()) {
--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -61,7 +61,12 @@
     MAP_ABORTED(602, Severity.WARN, "A proposed expert map was aborted."),
     PLAN_SKIPPED(603, Severity.INFO, "A planning round changed nothing; the reason is in the event."),
     MAP_PLANNED(604, Severity.INFO, "A better expert map was planned and is rolled out."),
-    GROUP_READ(605, Severity.INFO, "A controller read the ranks of its group; the outcome says what follows.");
+    GROUP_READ(605, Severity.INFO, "A controller read the ranks of its group; the outcome says what follows."),
+    MAPS_DIFFER(606, Severity.ERROR, "Ranks of a group use different expert maps; the group is held and repaired."),
+    HOLD_LOST(
+            607,
+            Severity.ERROR,
+            "The hold of a group ended while some of its ranks were armed; they are held and disarmed.");
 
     /** Severity of an event. The names are those of the SLF4J log levels. */
     public enum Severity {
--- a/rebalance/src/main/java/firwheel/rebalance/GroupReader.java
+++ b/rebalance/src/main/java/firwheel/rebalance/GroupReader.java
@@ -1,5 +1,6 @@
 package firwheel.rebalance;
 
+import firwheel.experts.rollout.HoldSteps;
 import firwheel.experts.rollout.MapRollout;
 import firwheel.model.TimeSource;
 import java.time.Duration;
@@ -19,14 +20,21 @@
     private final TimeSource time;
     private final Supplier<Set<EngineAddress>> knownEngines;
     private final CallTimeouts timeouts;
+    private final HoldSteps holdSteps;
     private final SelectionSampling selectionSampling = new SelectionSampling(AGENTS_PER_SELECTION_READING);
 
-    /** Creates a reader that measures its readings for {@code timeouts}. */
-    GroupReader(RankClient client, TimeSource time, Supplier<Set<EngineAddress>> knownEngines, CallTimeouts timeouts) {
+    /** Creates a reader that measures its readings for {@code timeouts} and exchanges {@code holdSteps} with agents. */
+    GroupReader(
+            RankClient client,
+            TimeSource time,
+            Supplier<Set<EngineAddress>> knownEngines,
+            CallTimeouts timeouts,
+            HoldSteps holdSteps) {
         this.client = client;
         this.time = time;
         this.knownEngines = knownEngines;
         this.timeouts = timeouts;
+        this.holdSteps = holdSteps;
     }
 
     /**
@@ -38,12 +46,29 @@
         List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
         Set<String> sampled = selectionSampling.next(agentIps);
         for (String ip : agentIps) {
-            RankCall.Read read = new RankCall.Read(term, sampled.contains(ip), placed);
+            RankCall.Read read = read(term, sampled.contains(ip), placed);
             calls.add(client.readAgent(ip, read, CallTimeouts.REGULAR));
         }
         List<CompletableFuture<RankClient.Answer>> measuredCalls = measured(calls);
-        measuredCalls.add(client.readLocal(new RankCall.Read(term, true, placed)));
-        return allOf(measuredCalls).thenCompose(answers -> withUnreadEngines(term, answers));
+        measuredCalls.add(client.readLocal(read(term, true, placed)));
+        return allOf(measuredCalls)
+                .thenApply(this::withHoldSteps)
+                .thenCompose(answers -> withUnreadEngines(term, answers));
+    }
+
+    private RankCall.Read read(long term, boolean selections, boolean placed) {
+        return new RankCall.Read(term, selections, placed, holdSteps.known());
+    }
+
+    private List<RankClient.Answer> withHoldSteps(List<RankClient.Answer> answers) {
+        for (RankClient.Answer answer : answers) {
+            RankCall.Reading reading = answer.reading();
+            HoldSteps.Known known = reading == null ? null : reading.holdSteps();
+            if (known != null) {
+                holdSteps.merge(known);
+            }
+        }
+        return answers;
     }
 
     /**
@@ -58,7 +83,7 @@
         List<CompletableFuture<RankClient.Answer>> calls = new ArrayList<>();
         for (RankClient.Route rank : ranks) {
             boolean withSelections = selections && (rank.isLocal() || sampled.contains(rank.agentIp()));
-            RankCall.Read read = new RankCall.Read(term, withSelections, false);
+            RankCall.Read read = read(term, withSelections, false);
             calls.add(client.readRank(rank, read, options));
         }
         return allOf(selections ? calls : measured(calls));
@@ -66,7 +91,7 @@
 
     /** Reads the rank that decides how a rollout goes on. */
     CompletableFuture<List<RankClient.Answer>> readDecidingRank(long term, RankClient.Route rank, MapRollout rollout) {
-        RankCall.Read read = new RankCall.Read(term, false, false);
+        RankCall.Read read = read(term, false, false);
         return client.readRank(rank, read, timeouts.forReading(rollout)).thenApply(List::of);
     }
 
--- a/rebalance/src/main/java/firwheel/rebalance/GroupReadings.java
+++ b/rebalance/src/main/java/firwheel/rebalance/GroupReadings.java
@@ -23,12 +23,15 @@
         return views;
     }
 
-    /** Returns whether all ranks are open, in the same group epoch, and use the same map version. */
-    static boolean areInSameEpochWithSameMap(List<RankView> views) {
-        RankView first = views.get(0);
+    /** Returns whether all ranks are open and in the same group epoch. */
+    static boolean areOpenInSameEpoch(List<RankView> views) {
         return views.stream()
-                .allMatch(view ->
-                        view.open() && view.epoch() == first.epoch() && view.mapVersion() == first.mapVersion());
+                .allMatch(view -> view.open() && view.epoch() == views.get(0).epoch());
+    }
+
+    /** Returns the map version that each rank uses, in rank order. */
+    static List<Long> mapVersions(List<RankView> views) {
+        return views.stream().map(RankView::mapVersion).toList();
     }
 
     /** Returns the experts by layer, rank and slot, or an empty array if a rank did not report its experts. */
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -1,5 +1,6 @@
 package firwheel.rebalance;
 
+import firwheel.experts.rollout.HoldSteps;
 import firwheel.experts.rollout.MapRollout;
 import firwheel.experts.rollout.RankOrder;
 import firwheel.experts.rollout.RankView;
@@ -59,12 +60,15 @@
     private final RolloutViews rolloutViews;
     private final MapInUse mapInUse = new MapInUse();
     private final MapVersions versions = new MapVersions();
+    private final MapDisagreement disagreement = new MapDisagreement();
+    private final HoldSteps holdSteps;
     private final Map<Integer, RankClient.Route> ranks = new TreeMap<>();
     private String group = "";
     private long term;
     private boolean takeoverComplete;
     private boolean renewingTerm;
     private @Nullable MapRollout rollout;
+    private @Nullable MapRollout reportedHoldLoss;
     private int incompleteReads;
     private long lastReportNanos;
     private long lastSelectionsNanos;
@@ -86,7 +90,8 @@
         RankClient client = new RankClient(vertx, time, agent, http, environment.engineAt());
         dispatch = new OrderDispatch(client, timeouts);
         rolloutViews = new RolloutViews(time);
-        reader = new GroupReader(client, time, environment.knownEngines(), timeouts);
+        holdSteps = agent.holdSteps();
+        reader = new GroupReader(client, time, environment.knownEngines(), timeouts, holdSteps);
         this.election = election;
         this.environment = environment;
         readingLog = new ReadingLog(time, http, environment.metrics());
@@ -161,6 +166,7 @@
         agent.observeTerm(wonTerm);
         takeoverComplete = false;
         mapInUse.forget();
+        disagreement.forget();
         versions.startTerm(wonTerm);
         MapPolicy policy = environment.policy().get();
         if (policy != null) {
@@ -215,9 +221,14 @@
         if (views.isEmpty()) {
             return ReadingLog.Outcome.INCOMPLETE;
         }
-        if (!GroupReadings.areInSameEpochWithSameMap(views)) {
+        if (!GroupReadings.areOpenInSameEpoch(views)) {
             return ReadingLog.Outcome.RANKS_DISAGREE;
         }
+        holdSteps.observe(views);
+        disagreement.onRead(views);
+        if (disagreement.isPresent()) {
+            return repair(readings, views);
+        }
         if (mapInUse.onRead(views.get(0), GroupReadings.placement(readings, size))) {
             takeoverComplete = false;
         }
@@ -229,11 +240,48 @@
         }
         if (!takeoverComplete || views.stream().anyMatch(RankView::isHolding)) {
             takeoverComplete = false;
-            rollout = MapRollout.takeOver(
-                    ROLLOUT_LIMITS, views, versions.next(), mapInUse.placement(), time.monotonicMillis());
+            rollout = takeOver(views, mapInUse.placement());
+            return ReadingLog.Outcome.TAKEOVER;
+        }
+        return holdSteps.isNextNear(views) ? planMap(readings, views) : ReadingLog.Outcome.HOLD_STEPS_USED;
+    }
+
+    private MapRollout takeOver(List<RankView> views, int[][][] placement) {
+        return MapRollout.takeOver(
+                ROLLOUT_LIMITS, holdSteps, views, versions.next(), placement, time.monotonicMillis());
+    }
+
+    /** Brings ranks that use different maps to one that consists of the experts that they hold. */
+    private ReadingLog.Outcome repair(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
+        mapInUse.forget(); // so that the next reading includes the experts that each rank holds
+        MapPolicy policy = environment.policy().get();
+        int[][][] held = GroupReadings.placement(readings, views.size());
+        if (!disagreement.isConfirmed() || policy == null || held.length == 0) {
+            return ReadingLog.Outcome.RANKS_DISAGREE;
+        }
+        if (versions.exhausted()) {
+            return ReadingLog.Outcome.VERSIONS_USED;
+        }
+        int[][][] placement = policy.completed(held);
+        if (views.stream().anyMatch(RankView::isArmed)) {
+            rollout = takeOver(views, placement);
             return ReadingLog.Outcome.TAKEOVER;
         }
-        return planMap(readings, views);
+        long version = versions.next();
+        environment.metrics().countFault("maps-differ");
+        Events.log(
+                logger,
+                EventCode.MAPS_DIFFER,
+                "group",
+                group,
+                "maps",
+                GroupReadings.mapVersions(views),
+                "step",
+                views.get(0).step(),
+                "version",
+                version);
+        rollout = MapRollout.repair(ROLLOUT_LIMITS, holdSteps, views, version, placement, time.monotonicMillis());
+        return ReadingLog.Outcome.REPAIR;
     }
 
     /**
@@ -279,7 +327,7 @@
                 "planMillis",
                 time.monotonicMillis() - planStartedMillis);
         rollout = MapRollout.start(
-                ROLLOUT_LIMITS, views, version, views.size() - 1, planned, current, time.monotonicMillis());
+                ROLLOUT_LIMITS, holdSteps, views, version, views.size() - 1, planned, current, time.monotonicMillis());
         return ReadingLog.Outcome.MAP_PLANNED;
     }
 
@@ -366,6 +414,11 @@
     }
 
     private CompletableFuture<Void> sendOrders(MapRollout active, List<RankOrder> orders) {
+        if (active.holdLost() && active != reportedHoldLoss) {
+            reportedHoldLoss = active;
+            environment.metrics().countFault("hold-lost");
+            Events.log(logger, EventCode.HOLD_LOST, "group", group, "state", active.toString());
+        }
         if (active.finished()) {
             onRolloutFinished(active);
             return CompletableFuture.completedFuture(null);
--- a/rebalance/src/main/java/firwheel/rebalance/MapMetrics.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapMetrics.java
@@ -29,6 +29,11 @@
             .labelNames("outcome")
             .register(registry);
 
+    private final Counter faults = Counter.builder()
+            .name("firwheel_map_faults")
+            .help("States of the group in which ranks use different maps, or could soon; each is repaired.")
+            .labelNames("kind")
+            .register(registry);
     private final Counter readings = Counter.builder()
             .name("firwheel_map_readings")
             .help("Readings of all ranks of the group, by outcome.")
@@ -58,6 +63,10 @@
         rollouts.labelValues(switched ? "switched" : "called-off").inc();
     }
 
+    void countFault(String kind) {
+        faults.labelValues(kind).inc();
+    }
+
     void countReading(String outcome, double seconds) {
         readings.labelValues(outcome).inc();
         readSeconds.set(seconds);
--- a/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapPolicy.java
@@ -138,6 +138,11 @@
         return best;
     }
 
+    /** Returns a placement of the experts that ranks hold, completed by those that none of them holds. */
+    public int[][][] completed(int[][][] held) {
+        return new PlacementCompletion(experts, slotsPerRank).complete(held);
+    }
+
     private int[][][] planWithin(int loadsPerLayer, int[][][] current, double[] slowdowns, LoadEstimate load) {
         ExpertMap map = ExpertMap.of(experts, padded(current));
         int ranks = map.ranks();
--- a/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
@@ -1,6 +1,8 @@
 package firwheel.rebalance;
 
+import firwheel.experts.rollout.HoldSteps;
 import firwheel.experts.rollout.RankOrder;
+import firwheel.experts.rollout.RankView;
 import firwheel.mesh.AuthenticatedHttp;
 import firwheel.model.TimeSource;
 import io.vertx.core.Vertx;
@@ -19,6 +21,7 @@
     private final Engine engine;
     private final EngineAddress address;
     private final TimeSource time;
+    private final HoldSteps holdSteps = new HoldSteps();
     private @Nullable PlacementRelay relay;
     private long term;
     private long controllerHeardNanos;
@@ -44,6 +47,11 @@
                         .thenApply(RankCall::encode));
     }
 
+    /** Returns the steps of holds that this agent and the controllers it heard of know. */
+    HoldSteps holdSteps() {
+        return holdSteps;
+    }
+
     /** Returns the latest known term. */
     long term() {
         return term;
@@ -71,7 +79,12 @@
 
     CompletableFuture<RankCall.Reading> read(RankCall.Read call) {
         if (!accepts(call.term())) {
-            return CompletableFuture.completedFuture(new RankCall.Reading(term, address, null, null, null));
+            return CompletableFuture.completedFuture(
+                    new RankCall.Reading(term, address, null, null, null, holdSteps.known()));
+        }
+        HoldSteps.Known offered = call.holdSteps();
+        if (offered != null) {
+            holdSteps.merge(offered);
         }
         CompletableFuture<@Nullable SelectionDigest> selections = call.selections()
                 ? nullable(engine.expertCounts()).thenApply(this::selectionsSinceLastReading)
@@ -79,11 +92,12 @@
         CompletableFuture<int @Nullable [][]> placed =
                 call.placed() ? nullable(engine.placedExperts()) : CompletableFuture.completedFuture(null);
         return selections
-                .thenCombine(placed, (selected, held) -> new RankCall.Reading(term, address, null, selected, held))
+                .thenCombine(
+                        placed, (selected, held) -> new RankCall.Reading(term, address, null, selected, held, null))
                 .thenCombine(
                         engine.state(),
-                        (reading, state) ->
-                                new RankCall.Reading(term, address, state, reading.selections(), reading.placed()));
+                        (reading, state) -> new RankCall.Reading(
+                                term, address, state, reading.selections(), reading.placed(), holdSteps.known()));
     }
 
     /** Returns null if there is no recent earlier reading to compare with. */
@@ -104,6 +118,10 @@
         if (!accepts(call.term())) {
             return CompletableFuture.completedFuture(new RankCall.OrderReply(term, false));
         }
+        if (call.order().step() != RankView.NONE) {
+            holdSteps.merge(
+                    new HoldSteps.Known(call.order().epoch(), call.order().step()));
+        }
         return placement(call)
                 .thenCompose(packed -> engine.submit(call.unpack(packed)))
                 .thenApply(taken -> new RankCall.OrderReply(term, taken));
--- a/rebalance/src/main/java/firwheel/rebalance/RankCall.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankCall.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.experts.rollout.HoldSteps;
 import firwheel.experts.rollout.RankOrder;
 import firwheel.experts.rollout.RankView;
 import java.io.IOException;
@@ -41,6 +42,7 @@
                         EngineAddress.class,
                         EngineState.class,
                         RankView.class,
+                        HoldSteps.Known.class,
                         RankOrder.class)
                 .forEach(type -> mapper.configOverride(type).setFormat(arrayFormat));
         return mapper;
@@ -68,8 +70,9 @@
      * @param term term of the controller; refused by an agent that knows a later term
      * @param selections whether to read the expert selections since the last such reading
      * @param placed whether to read the experts of the rank
+     * @param holdSteps steps of holds that the controller knows; null from older versions
      */
-    record Read(long term, boolean selections, boolean placed) {}
+    record Read(long term, boolean selections, boolean placed, HoldSteps.@Nullable Known holdSteps) {}
 
     /**
      * Reading of the rank.
@@ -80,6 +83,8 @@
      * @param selections expert selections since the last reading that requested them; null unless requested, and on
      *     the first such reading
      * @param placed experts of the rank by layer; null unless requested
+     * @param holdSteps steps of holds that the agent knows; null from older versions, and if the engine was read
+     *     directly
      */
     @SuppressWarnings("ArrayRecordComponent")
     record Reading(
@@ -87,7 +92,8 @@
             EngineAddress engine,
             @Nullable EngineState state,
             @Nullable SelectionDigest selections,
-            int @Nullable [][] placed) {}
+            int @Nullable [][] placed,
+            HoldSteps.@Nullable Known holdSteps) {}
 
     /**
      * Requests that an order be submitted to the engine.
--- a/rebalance/src/main/java/firwheel/rebalance/RankClient.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankClient.java
@@ -109,7 +109,7 @@
                         .thenCombine(
                                 client.placedExperts(),
                                 (state, placed) -> new Answer(
-                                        NO_AGENT_IP, new RankCall.Reading(term, address, state, null, placed))));
+                                        NO_AGENT_IP, new RankCall.Reading(term, address, state, null, placed, null))));
     }
 
     /** Reads the state of a rank. */
@@ -166,7 +166,7 @@
                 engineAt.apply(rank.engine())
                         .state()
                         .thenApply(state -> new Answer(
-                                rank.agentIp(), new RankCall.Reading(term, rank.engine(), state, null, null))));
+                                rank.agentIp(), new RankCall.Reading(term, rank.engine(), state, null, null, null))));
     }
 
     private boolean isAgentUnresponsive(String agentIp) {
--- a/rebalance/src/main/java/firwheel/rebalance/ReadingLog.java
+++ b/rebalance/src/main/java/firwheel/rebalance/ReadingLog.java
@@ -19,14 +19,18 @@
     enum Outcome {
         /** Some ranks could not be read. */
         INCOMPLETE,
-        /** Ranks are not open, or are in different epochs or on different maps. */
+        /** Ranks are not open, or are in different epochs or, until the next reading confirms it, on different maps. */
         RANKS_DISAGREE,
+        /** Ranks are on different maps, and are brought to the same one. */
+        REPAIR,
         /** Not all ranks stated which experts they hold. */
         PLACEMENT_UNKNOWN,
         /** The versions of the controller's term are used up, and it has not won another term yet. */
         VERSIONS_USED,
         /** A rollout of an earlier controller is aborted first. */
         TAKEOVER,
+        /** Earlier rollouts were aborted, and the group does not run steps; another one could be switched to only late. */
+        HOLD_STEPS_USED,
         /** The configuration of the group is not known. */
         NO_POLICY,
         /** No map is sufficiently better than the current one. */
--- a/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
+++ b/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
@@ -79,6 +79,22 @@
         return map[rank];
     }
 
+    /** Lets the first rank use another map than the others. */
+    synchronized void splitMaps() {
+        map[0] = 5;
+        placement[0] = new int[][] {{0, 1, 4}};
+    }
+
+    /** Returns whether all ranks use the same map, which places each expert somewhere. */
+    synchronized boolean usesOneMapOfAllExperts() {
+        return java.util.Arrays.stream(map).distinct().count() == 1
+                && java.util.Arrays.stream(placement)
+                                .flatMapToInt(layers -> java.util.Arrays.stream(layers[0]))
+                                .distinct()
+                                .count()
+                        == experts;
+    }
+
     /** Puts the group into the state left by a controller that failed while it was arming the ranks. */
     synchronized void simulateFailedController(int heldRank, int armedRank) {
         for (int rank = 0; rank < map.length; rank++) {
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -175,6 +175,24 @@
         }
     }
 
+    @Nested
+    final class DifferentMaps {
+        /** Guards against controllers that wait for ranks with different maps to agree, which they never do. */
+        @Test
+        void areReplacedByOneOfAllExperts() throws Exception {
+            group.splitMaps();
+            int port = freePort();
+            for (int rank = 0; rank < RANKS; rank++) {
+                startRank(rank, port);
+            }
+
+            awaitSwitch();
+            awaitReports(4);
+
+            assertThat(group.usesOneMapOfAllExperts()).isTrue();
+        }
+    }
+
     @Nested
     final class Switching {
         @Test
--- a/rebalance/src/test/java/firwheel/rebalance/RankAgentTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/RankAgentTest.java
@@ -3,6 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.within;
 
+import firwheel.experts.rollout.HoldSteps;
+import firwheel.experts.rollout.RankOrder;
+import firwheel.experts.rollout.RankView;
 import firwheel.model.ManualTimeSource;
 import java.time.Duration;
 import java.time.Instant;
@@ -17,7 +20,7 @@
             new RankAgent(new FakeGroup(3, 12).engine(0), new EngineAddress("127.0.0.1", 9_000), time);
 
     private @Nullable SelectionDigest readSelections() {
-        return agent.read(new RankCall.Read(1, true, false)).join().selections();
+        return agent.read(new RankCall.Read(1, true, false, null)).join().selections();
     }
 
     @Nested
@@ -46,4 +49,28 @@
             assertThat(readSelections()).isNull();
         }
     }
+
+    /** Guards against a new controller that holds the group at a step that an earlier one has used. */
+    @Nested
+    final class StepsOfHolds {
+        private HoldSteps.@Nullable Known exchange(HoldSteps.@Nullable Known known) {
+            return agent.read(new RankCall.Read(1, false, false, known)).join().holdSteps();
+        }
+
+        @Test
+        void ofOrdersAreReportedToLaterControllers() {
+            RankOrder hold = new RankOrder(0, RankOrder.Action.HOLD, RankView.NONE, 7, 1, new int[0][][]);
+            agent.forwardOrder(RankCall.Order.of(1, hold)).join();
+
+            assertThat(exchange(null)).isEqualTo(new HoldSteps.Known(1, 7));
+        }
+
+        @Test
+        void thatControllersKnowAreReportedToLaterOnes() {
+            exchange(new HoldSteps.Known(1, 9));
+
+            assertThat(exchange(new HoldSteps.Known(1, 3))).isEqualTo(new HoldSteps.Known(1, 9));
+            assertThat(exchange(new HoldSteps.Known(2, 1))).isEqualTo(new HoldSteps.Known(2, 1));
+        }
+    }
 }
--- a/rebalance/src/test/java/firwheel/rebalance/RankClientTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/RankClientTest.java
@@ -22,7 +22,7 @@
 final class RankClientTest {
     private static final String AGENT_IP = "127.0.0.2";
     private static final EngineAddress ENGINE = new EngineAddress(AGENT_IP, 9_000);
-    private static final RankCall.Read READ = new RankCall.Read(1, false, false);
+    private static final RankCall.Read READ = new RankCall.Read(1, false, false, null);
     private static final Duration SHORT_TIMEOUT = Duration.ofMillis(50);
     private static final Duration LONG_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration TEST_TIMEOUT = Duration.ofSeconds(30);
