Defer removals after an outage only where registrations may have expired

Cause: after any outage of over a second all removals of the next 2.2 s were deferred, counted from a first answer that came up to 1.5 s after the path was back. Entries that had missed nothing took the deferral over, and short outages in series started it again each time.

Change: - Only removals up to the position of the first answer are deferred. - An entry announces for how long the store has answered it.

Announcements have two new trailing fields; without them a process does as before.

--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -146,6 +146,9 @@
      * @param removalDelayMillis time for which removals from the registry are still deferred
      * @param fromPosition position after which {@code changes} holds all changes of the registry
      * @param changes changes of the registry; empty if there are none or they do not fit into a datagram
+     * @param lastDeferredPosition position up to which removals are deferred, or 0 if it is not known
+     * @param storeUpMillis time for which the store has answered the process without an outage in which registrations
+     *     expire; 0 from older versions
      */
     record StoreNews(
             String ip,
@@ -158,7 +161,9 @@
             long registryPosition,
             long removalDelayMillis,
             long fromPosition,
-            List<RowChange> changes)
+            List<RowChange> changes,
+            long lastDeferredPosition,
+            long storeUpMillis)
             implements MeshMessage {}
 
     /**
