--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * Switches all ranks of a group to a new expert map at the same step, or none of them.
@@ -47,7 +48,8 @@
     private static final int[][][] NO_PLACEMENT = {};
     private static final long PREPARE_RETRY_MILLIS = 300; // longer than an engine takes to report a loaded version
 
-    private static final int REPAIR_HOLD_RANK = 0; // other rollouts do not release this rank
+    // Holds of other rollouts are on another rank, so no delayed order to release one ends the hold of a repair.
+    private static final int REPAIR_HOLD_RANK = 0;
 
     private RolloutLimits limits;
     private final HoldSteps holdSteps;
@@ -285,16 +287,9 @@
     }
 
     private List<RankOrder> prepare(List<RankView> views, long nowMillis) {
-        List<RankOrder> orders = repairs ? holdNextStep(views) : new ArrayList<>();
-        boolean releasesHolds = !repairs || views.get(holdRank).isHolding();
+        List<RankOrder> orders = repairs ? prepareRepair(views) : releaseHolds(views, RankView.NONE);
         boolean allLoaded = true;
         for (RankView view : views) {
-            if (view.isHolding() && releasesHolds && !(repairs && view.rank() == holdRank)) {
-                orders.add(release(view));
-            }
-            if (repairs && view.isArmed()) {
-                orders.add(disarm(view));
-            }
             allLoaded &= view.preparedVersion() == version;
             boolean due = prepareSentMillis[view.rank()] == RankView.NONE
                     || nowMillis - prepareSentMillis[view.rank()] > PREPARE_RETRY_MILLIS;
@@ -313,6 +308,23 @@
         return orders;
     }
 
+    /** Holds a group with different maps; releases other holds and disarms ranks only once it is held. */
+    private List<RankOrder> prepareRepair(List<RankView> views) {
+        List<RankOrder> orders = holdNextStep(views);
+        if (views.get(holdRank).isHolding()) {
+            orders.addAll(releaseHolds(views, holdRank));
+            views.stream().filter(RankView::isArmed).map(this::disarm).forEach(orders::add);
+        }
+        return orders;
+    }
+
+    private List<RankOrder> releaseHolds(List<RankView> views, long exceptRank) {
+        return views.stream()
+                .filter(view -> view.isHolding() && view.rank() != exceptRank)
+                .map(this::release)
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
     /** Holds a group with different maps as soon as possible; it switches to the new map at the held step. */
     private List<RankOrder> holdNextStep(List<RankView> views) {
         RankView holdView = views.get(holdRank);
@@ -340,7 +352,8 @@
         if (repairs) {
             return holdNextStep(views);
         }
-        if (holdView.isHolding()) { // by a delayed order; a rank holds one step at a time
+        if (holdView.isHolding() && holdView.heldStep() < step) {
+            // By a delayed order of an earlier rollout. A higher step would be that of a newer controller.
             return List.of(release(holdView));
         }
         long lastStartedStep = lastStartedStep(views);
