--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -1,6 +1,5 @@
 package firwheel.experts.rollout;
 
-import firwheel.experts.rollout.RankOrder.Action;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -45,7 +44,6 @@
         ABORTED
     }
 
-    private static final int[][][] NO_PLACEMENT = {};
     private static final long PREPARE_RETRY_MILLIS = 300; // longer than an engine takes to report a loaded version
 
     // Holds of other rollouts are on another rank, so no delayed order to release one ends the hold of a repair.
@@ -55,13 +53,12 @@
     private final HoldSteps holdSteps;
     private final boolean repairs;
     private final boolean keepsHold;
+    private final RolloutOrders rankOrders;
     private final int[][][] newPlacement;
-    private final int[][][] currentPlacement;
     private final long epoch;
     private final int holdRank;
     private final long[] prepareSentMillis;
     private final long version;
-    private final long invalidatingVersion;
     private final long firstStep;
     private final long startMillis;
     private long step = RankView.NONE;
@@ -88,12 +85,11 @@
         this.repairs = repairs;
         this.keepsHold = keepsHold;
         this.newPlacement = newPlacement;
-        this.currentPlacement = currentPlacement;
         this.version = version;
         this.holdRank = holdRank;
         this.phase = phase;
-        invalidatingVersion = version + 1;
         epoch = views.get(0).epoch();
+        rankOrders = new RolloutOrders(epoch, version, newPlacement, currentPlacement);
         prepareSentMillis = new long[views.size()];
         Arrays.fill(prepareSentMillis, RankView.NONE);
         phaseStartMillis = nowMillis;
@@ -295,7 +291,7 @@
                     || nowMillis - prepareSentMillis[view.rank()] > PREPARE_RETRY_MILLIS;
             if (view.preparedVersion() != version && due) {
                 prepareSentMillis[view.rank()] = nowMillis;
-                orders.add(order(view, Action.PREPARE, version, RankView.NONE, newPlacement));
+                orders.add(rankOrders.prepare(view));
             }
         }
         if (allLoaded && orders.isEmpty()) {
@@ -313,7 +309,7 @@
         List<RankOrder> orders = holdNextStep(views);
         if (views.get(holdRank).isHolding()) {
             orders.addAll(releaseHolds(views, holdRank));
-            views.stream().filter(RankView::isArmed).map(this::disarm).forEach(orders::add);
+            views.stream().filter(RankView::isArmed).map(rankOrders::disarm).forEach(orders::add);
         }
         return orders;
     }
@@ -321,7 +317,7 @@
     private List<RankOrder> releaseHolds(List<RankView> views, long exceptRank) {
         return views.stream()
                 .filter(view -> view.isHolding() && view.rank() != exceptRank)
-                .map(this::release)
+                .map(rankOrders::release)
                 .collect(Collectors.toCollection(ArrayList::new));
     }
 
@@ -337,7 +333,7 @@
             refusedHolds++;
             step = lastStartedStep + refusedHolds;
         }
-        return new ArrayList<>(List.of(order(holdView, Action.HOLD, RankView.NONE, step, NO_PLACEMENT)));
+        return new ArrayList<>(List.of(rankOrders.hold(holdView, step)));
     }
 
     private List<RankOrder> hold(List<RankView> views, long nowMillis) {
@@ -354,13 +350,13 @@
         }
         if (holdView.isHolding() && holdView.heldStep() < step) {
             // By a delayed order of an earlier rollout. A higher step would be that of a newer controller.
-            return List.of(release(holdView));
+            return List.of(rankOrders.release(holdView));
         }
         long lastStartedStep = lastStartedStep(views);
         if (step == RankView.NONE || lastStartedStep >= step) {
             step = holdSteps.next(lastStartedStep + leadSteps(lastStartedStep, nowMillis));
         }
-        return List.of(order(holdView, Action.HOLD, RankView.NONE, step, NO_PLACEMENT));
+        return List.of(rankOrders.hold(holdView, step));
     }
 
     private static long lastStartedStep(List<RankView> views) {
@@ -378,7 +374,7 @@
         List<RankOrder> orders = new ArrayList<>();
         for (RankView view : views) {
             if (view.rank() != holdRank && !isArmedForThisRollout(view)) {
-                orders.add(order(view, Action.ARM, version, step, NO_PLACEMENT));
+                orders.add(rankOrders.arm(view, step));
             }
         }
         if (orders.isEmpty()) {
@@ -397,7 +393,7 @@
         if (holdView.heldStep() != step || hasElapsed(limits.armLimit(), nowMillis)) {
             return startAbort(views, nowMillis);
         }
-        return List.of(order(holdView, Action.ARM, version, step, NO_PLACEMENT));
+        return List.of(rankOrders.arm(holdView, step));
     }
 
     private boolean isArmedForThisRollout(RankView view) {
@@ -411,7 +407,7 @@
             return List.of();
         }
         // Until the step has started, a delayed duplicate of the hold order could still hold the group.
-        return holdView.isHolding() ? List.of(release(holdView)) : List.of();
+        return holdView.isHolding() ? List.of(rankOrders.release(holdView)) : List.of();
     }
 
     /**
@@ -432,31 +428,31 @@
             return abortWithoutHold(views, nowMillis);
         }
         if (holdView.isArmed()) {
-            return List.of(release(holdView));
+            return List.of(rankOrders.release(holdView));
         }
-        if (mayBeArmed(holdView)) {
-            return List.of(invalidateArm(holdView));
+        if (rankOrders.mayArm(holdView)) {
+            return List.of(rankOrders.invalidateArm(holdView));
         }
         List<RankOrder> orders = new ArrayList<>();
         for (RankView view : views) {
             if (view.isArmed()) {
-                orders.add(disarm(view));
-            } else if (mayBeArmed(view)) {
-                orders.add(invalidateArm(view));
+                orders.add(rankOrders.disarm(view));
+            } else if (rankOrders.mayArm(view)) {
+                orders.add(rankOrders.invalidateArm(view));
             }
         }
         if (orders.isEmpty() && keepsHold) {
             enter(Phase.ABORTED, nowMillis);
         }
-        return orders.isEmpty() && !keepsHold ? List.of(release(holdView)) : orders;
+        return orders.isEmpty() && !keepsHold ? List.of(rankOrders.release(holdView)) : orders;
     }
 
     /** If no rank holds the group, a rank can be armed only after the commit point, so armed ranks must stay armed. */
     private List<RankOrder> abortWithoutHold(List<RankView> views, long nowMillis) {
         List<RankView> armed = views.stream().filter(RankView::isArmed).toList();
         List<RankOrder> orders = views.stream()
-                .filter(view -> !view.isArmed() && mayBeArmed(view))
-                .map(this::invalidateArm)
+                .filter(view -> !view.isArmed() && rankOrders.mayArm(view))
+                .map(rankOrders::invalidateArm)
                 .toList();
         if (!armed.isEmpty()) {
             return hasCommitted(armed.get(0).armedVersion(), views) ? List.of() : restoreHold(views, armed, orders);
@@ -480,34 +476,14 @@
         List<RankOrder> orders = new ArrayList<>(invalidations);
         long armedStep = armed.stream().mapToLong(RankView::armedStep).min().orElseThrow();
         if (armedStep > lastStartedStep(views)) {
-            orders.add(order(views.get(holdRank), Action.HOLD, RankView.NONE, armedStep, NO_PLACEMENT));
+            orders.add(rankOrders.hold(views.get(holdRank), armedStep));
         }
         if (invalidations.isEmpty()) {
-            armed.forEach(view -> orders.add(disarm(view)));
+            armed.forEach(view -> orders.add(rankOrders.disarm(view)));
         }
         return orders;
     }
 
-    private RankOrder disarm(RankView view) {
-        return order(view, Action.DISARM, view.armedVersion(), RankView.NONE, NO_PLACEMENT);
-    }
-
-    private RankOrder release(RankView holdView) {
-        return order(holdView, Action.RELEASE, RankView.NONE, holdView.heldStep(), NO_PLACEMENT);
-    }
-
-    private RankOrder invalidateArm(RankView view) {
-        return order(view, Action.PREPARE, invalidatingVersion, RankView.NONE, currentPlacement);
-    }
-
-    private boolean mayBeArmed(RankView view) {
-        return view.preparedVersion() < invalidatingVersion;
-    }
-
-    private RankOrder order(RankView view, Action action, long orderVersion, long orderStep, int[][][] orderPlacement) {
-        return new RankOrder(view.rank(), action, orderVersion, orderStep, epoch, orderPlacement);
-    }
-
     private void enter(Phase next, long nowMillis) {
         if (phase == Phase.PREPARING) {
             holdingStartMillis = nowMillis;
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -61,6 +61,7 @@
     private final MapInUse mapInUse = new MapInUse();
     private final MapVersions versions = new MapVersions();
     private final MapDisagreement disagreement = new MapDisagreement();
+    private final MapFaultLog faults;
     private final HoldSteps holdSteps;
     private final Map<Integer, RankClient.Route> ranks = new TreeMap<>();
     private String group = "";
@@ -68,7 +69,6 @@
     private boolean takeoverComplete;
     private boolean renewingTerm;
     private @Nullable MapRollout rollout;
-    private @Nullable MapRollout reportedHoldLoss;
     private int incompleteReads;
     private long lastReportNanos;
     private long lastSelectionsNanos;
@@ -90,6 +90,7 @@
         RankClient client = new RankClient(vertx, time, agent, http, environment.engineAt());
         dispatch = new OrderDispatch(client, timeouts);
         rolloutViews = new RolloutViews(time);
+        faults = new MapFaultLog(environment.metrics());
         holdSteps = agent.holdSteps();
         reader = new GroupReader(client, time, environment.knownEngines(), timeouts, holdSteps);
         this.election = election;
@@ -251,7 +252,7 @@
                 ROLLOUT_LIMITS, holdSteps, views, versions.next(), placement, time.monotonicMillis());
     }
 
-    /** Brings ranks that use different maps to one that consists of the experts that they hold. */
+    /** Brings ranks that use different maps to the same one, once that is certain and can be planned. */
     private ReadingLog.Outcome repair(Map<Integer, RankCall.Reading> readings, List<RankView> views) {
         mapInUse.forget(); // so that the next reading includes the experts that each rank holds
         MapPolicy policy = environment.policy().get();
@@ -268,18 +269,7 @@
             return ReadingLog.Outcome.TAKEOVER;
         }
         long version = versions.next();
-        environment.metrics().countFault("maps-differ");
-        Events.log(
-                logger,
-                EventCode.MAPS_DIFFER,
-                "group",
-                group,
-                "maps",
-                GroupReadings.mapVersions(views),
-                "step",
-                views.get(0).step(),
-                "version",
-                version);
+        faults.onMapsDiffer(group, views, version);
         rollout = MapRollout.repair(ROLLOUT_LIMITS, holdSteps, views, version, placement, time.monotonicMillis());
         return ReadingLog.Outcome.REPAIR;
     }
@@ -414,11 +404,7 @@
     }
 
     private CompletableFuture<Void> sendOrders(MapRollout active, List<RankOrder> orders) {
-        if (active.holdLost() && active != reportedHoldLoss) {
-            reportedHoldLoss = active;
-            environment.metrics().countFault("hold-lost");
-            Events.log(logger, EventCode.HOLD_LOST, "group", group, "state", active.toString());
-        }
+        faults.onOrders(group, active);
         if (active.finished()) {
             onRolloutFinished(active);
             return CompletableFuture.completedFuture(null);
