Log and count responses that are not one response, without acting on it

Cause looked for: callers got successes whose target answered another status. Neither logs nor metrics told apart whether a target's bytes were one response: the reason phrase is not logged, and the lines of the HTTP library name no target.

One line a second and target. No decision changes.

--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -57,6 +57,7 @@
     REMOVAL_DEFERRED(
             416, Severity.INFO, "A registration is gone after an outage; its target counts until it could be renewed."),
     EXTRA_RESPONSE(417, Severity.INFO, "A target wrote a response that belongs to no request in progress."),
+    MALFORMED_RESPONSE(418, Severity.WARN, "A target wrote bytes that are not one response; the event says why."),
     LINK_REFUSED(501, Severity.WARN, "A peer failed authentication or sent a bad frame; its link was closed."),
     LINK_UP(502, Severity.INFO, "A link to a peer is up."),
     LINK_DOWN(503, Severity.INFO, "A link to a peer is down."),
--- a/proxy/src/main/java/firwheel/proxy/server/ExtraResponses.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ExtraResponses.java
@@ -17,23 +17,22 @@
  */
 final class ExtraResponses {
     private static final Duration MEMORY = Duration.ofSeconds(10); // the next one then costs a repeat again
-    private static final Duration LOG_INTERVAL = Duration.ofSeconds(1); // per target
     private static final int MAX_TARGETS = 1_024; // more than the targets of the largest deployment
     private static final Logger logger = LoggerFactory.getLogger(ExtraResponses.class);
 
     private final TimeSource time;
-    private final Map<Target.Key, Seen> seenByTarget = new LinkedHashMap<>() {
+    private final LogLimiter limiter;
+    private final Map<Target.Key, Long> lastNanosByTarget = new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Target.Key, Seen> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Target.Key, Long> eldest) {
             return size() > MAX_TARGETS;
         }
     };
     private long count;
 
-    private record Seen(long lastNanos, long loggedNanos, long sinceLine) {}
-
     ExtraResponses(TimeSource time) {
         this.time = time;
+        limiter = new LogLimiter(time);
     }
 
     /** Returns how many were recorded. */
@@ -43,32 +42,27 @@
 
     /** Returns whether responses on reused connections to the target are likely to be to earlier requests. */
     boolean areLikely(Target target) {
-        Seen seen = seenByTarget.get(target.key());
-        return seen != null && time.monotonicNanos() - seen.lastNanos() < MEMORY.toNanos();
+        Long lastNanos = lastNanosByTarget.get(target.key());
+        return lastNanos != null && time.monotonicNanos() - lastNanos < MEMORY.toNanos();
     }
 
     /** Records one, and logs it unless one of the same target has just been logged. */
     void onExtraResponse(Target target, @Nullable String respondedId, @Nullable String expectedId) {
         count++;
-        long now = time.monotonicNanos();
-        Seen seen = seenByTarget.get(target.key());
-        if (seen != null && now - seen.loggedNanos() < LOG_INTERVAL.toNanos()) {
-            seenByTarget.put(target.key(), new Seen(now, seen.loggedNanos(), seen.sinceLine() + 1));
-            return;
-        }
-        seenByTarget.put(target.key(), new Seen(now, now, 0));
-        Events.log(
-                logger,
-                EventCode.EXTRA_RESPONSE,
-                "target",
-                target.instanceId(),
-                "service",
-                target.service(),
-                "respondedAttempt",
-                respondedId,
-                "expectedAttempt",
-                expectedId,
-                "notLogged",
-                seen == null ? 0 : seen.sinceLine());
+        lastNanosByTarget.put(target.key(), time.monotonicNanos());
+        limiter.tryLog(target)
+                .ifPresent(leftOut -> Events.log(
+                        logger,
+                        EventCode.EXTRA_RESPONSE,
+                        "target",
+                        target.instanceId(),
+                        "service",
+                        target.service(),
+                        "respondedAttempt",
+                        respondedId,
+                        "expectedAttempt",
+                        expectedId,
+                        "notLogged",
+                        leftOut));
     }
 }
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyMetrics.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyMetrics.java
@@ -84,6 +84,11 @@
                 .help("Responses of targets that belong to no request in progress.")
                 .callback(callback -> callback.call((double) connections.extraResponseCount()))
                 .register(registry);
+        CounterWithCallback.builder()
+                .name("firwheel_target_malformed_responses")
+                .help("Bytes of targets that are not one response.")
+                .callback(callback -> callback.call((double) connections.malformedResponseCount()))
+                .register(registry);
         GaugeWithCallback.builder()
                 .name("firwheel_targets_known")
                 .help("Targets in the registry, those that leave included.")
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyProtocol.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyProtocol.java
@@ -13,6 +13,12 @@
     /** Returns the headers of the request to a target. */
     MultiMap targetRequestHeaders(HttpServerRequest request, ForwardingMetadata forwarding);
 
+    /** Returns the header in which a response states the attempt that it belongs to. */
+    String attemptIdHeader();
+
+    /** Returns the protocol's headers that stand at most once in a response, in lower case. */
+    Set<String> singleResponseHeaders();
+
     /** Returns the names of further fields that events of a stream may have, in lower case. */
     Set<String> eventFields();
 
--- a/proxy/src/main/java/firwheel/proxy/server/TargetConnectionPool.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetConnectionPool.java
@@ -58,12 +58,14 @@
     private final TimeSource time;
     private final Map<Target.Key, Deque<IdleConnection>> idleConnections = new HashMap<>();
     private final ExtraResponses extraResponses;
+    private final MalformedResponses malformedResponses;
     private long openedCount;
 
     /** Creates an empty pool; must be called on the event loop that uses it. */
     public TargetConnectionPool(Vertx vertx, TimeSource time) {
         this.time = time;
         extraResponses = new ExtraResponses(time);
+        malformedResponses = new MalformedResponses(time);
         client = vertx.createHttpClient(new HttpClientOptions()
                 .setProtocolVersion(HttpVersion.HTTP_1_1)
                 .setKeepAlive(true)
@@ -78,6 +80,16 @@
         return extraResponses.count();
     }
 
+    /** Returns how often targets have written bytes that are not one response. */
+    public long malformedResponseCount() {
+        return malformedResponses.count();
+    }
+
+    /** Records that a target has written bytes that are not one response; see {@link MalformedResponses}. */
+    void onMalformedResponse(Lease lease, @Nullable String attemptId, int status, String violation) {
+        malformedResponses.onMalformedResponse(lease.target(), attemptId, lease.reused(), status, violation);
+    }
+
     /**
      * Records that a target has written a response to an earlier request once more. Others may follow on its other
      * connections, so these are closed, and for a time each request uses a connection of its own.
--- a/proxy/src/main/java/firwheel/proxy/server/TargetExchange.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetExchange.java
@@ -1,5 +1,7 @@
 package firwheel.proxy.server;
 
+import firwheel.proxy.attempt.JoinedContentScanner;
+import firwheel.proxy.attempt.ResponseHeadCheck;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -102,6 +104,11 @@
     }
 
     private void onResponse(HttpClientResponse received) {
+        JoinedContentScanner scanner = new JoinedContentScanner(protocol.attemptIdHeader(), id -> id.equals(attemptId));
+        logViolation(
+                received,
+                new ResponseHeadCheck(protocol.singleResponseHeaders())
+                        .violation(received.statusMessage(), received.headers()));
         ResponseHead responseHead = protocol.readResponseHead(received);
         String respondedId = responseHead.attemptId();
         if (lease.reused() && !belongsToRequest(respondedId)) {
@@ -119,6 +126,8 @@
         response = received;
         received.exceptionHandler(error -> fail(String.valueOf(error.getMessage())));
         received.handler(bytes -> {
+            scanner.accept(bytes.getBytes());
+            logViolation(received, scanner.violation());
             if (!done) {
                 listener.onBytes(bytes);
             }
@@ -127,6 +136,12 @@
         listener.onHead(responseHead);
     }
 
+    private void logViolation(HttpClientResponse received, @Nullable String violation) {
+        if (violation != null) {
+            connections.onMalformedResponse(lease, attemptId, received.statusCode(), violation);
+        }
+    }
+
     /** Without an identifier, a response on a connection with earlier requests may be one to those. */
     private boolean belongsToRequest(@Nullable String respondedId) {
         return respondedId == null ? !lease.reused() : respondedId.equals(attemptId);
