--- a/proxy/src/main/java/firwheel/proxy/attempt/JoinedContentScanner.java
+++ b/proxy/src/main/java/firwheel/proxy/attempt/JoinedContentScanner.java
@@ -1,7 +1,6 @@
 package firwheel.proxy.attempt;
 
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -24,19 +23,17 @@
         UNDECIDED
     }
 
-    /** A status line, as defined by RFC 9112, up to the end of its line. */
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]{3}( .*)?$", Pattern.DOTALL);
-
-    private static final String STATUS_LINE_FORM = "HTTP/0.0 000"; // 0 stands for any digit
     private static final Pattern HEADER_LINE = Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t]*");
-    private static final int MAX_LINE_BYTES = 1024; // longer lines are examined by their ends
+    private static final int MAX_LINE_BYTES = 1024; // of longer lines the end is kept
 
     private final String idHeader;
     private final Predicate<String> isOwnId;
     private final byte[] line = new byte[MAX_LINE_BYTES];
     private int lineLength;
+    private boolean statusLineDropped;
     private boolean inHead;
     private boolean headSeen;
+    private boolean endsBehindHead;
     private @Nullable String joinedId;
 
     /**
@@ -56,17 +53,19 @@
         for (int i = 0; i < bytes.length; i++) {
             if (bytes[i] == '\n') {
                 append(bytes, start, i);
-                onLine(lineText());
+                onLine();
                 lineLength = 0;
+                statusLineDropped = false;
                 start = i + 1;
             }
         }
         append(bytes, start, bytes.length);
+        endsBehindHead = endsBehindHead && lineLength == 0;
     }
 
     /** Examines a last line without a line break, if the content has no stated length. */
     public void acceptEnd() {
-        onLine(lineText());
+        onLine();
     }
 
     /** Returns why the content is not one response's, or null if it may be. */
@@ -80,48 +79,55 @@
      * @param following all bytes received behind the content, which may be none
      */
     public Boundary atEnd(byte[] following) {
+        String line = lineText();
         if (following.length == 0) {
-            return inHead || headSeen || hasStatusLine(lineText()) || endsWithPartOfStatusLine("")
-                    ? Boundary.UNDECIDED
-                    : Boundary.SOUND;
+            return isInHeadAtEnd() || StatusLine.mayStraddle(line, "") ? Boundary.UNDECIDED : Boundary.SOUND;
         }
         String text = new String(following, StandardCharsets.ISO_8859_1);
-        if (matchesForm(text)) {
-            return text.length() < STATUS_LINE_FORM.length() ? Boundary.UNDECIDED : Boundary.SOUND;
+        if (StatusLine.mayBegin(text)) {
+            boolean endsInHead = inHead || lineHasStatusLine() || endsBehindHead;
+            Boundary beforeResponse = endsInHead ? Boundary.JOINED : Boundary.SOUND;
+            return StatusLine.isDecided(text) ? beforeResponse : Boundary.UNDECIDED;
         }
-        if (inHead || headSeen || hasStatusLine(lineText())) {
+        if (isInHeadAtEnd()) {
             return Boundary.JOINED;
         }
-        if (!endsWithPartOfStatusLine(text)) {
+        if (!StatusLine.mayStraddle(line, text)) {
             return Boundary.SOUND;
         }
-        return hasStatusLine(lineText() + firstLine(text)) ? Boundary.JOINED : Boundary.UNDECIDED;
+        return StatusLine.isIn(line + text) ? Boundary.JOINED : Boundary.UNDECIDED;
     }
 
     /** Returns whether bytes are the beginning of a response, as far as they go. */
     public static boolean beginsResponse(byte[] bytes) {
-        return matchesForm(new String(bytes, StandardCharsets.ISO_8859_1));
+        return StatusLine.mayBegin(new String(bytes, StandardCharsets.ISO_8859_1));
+    }
+
+    private boolean isInHeadAtEnd() {
+        return inHead || headSeen || endsBehindHead || lineHasStatusLine();
     }
 
     private void append(byte[] bytes, int from, int to) {
         int added = Math.min(to - from, MAX_LINE_BYTES);
         int kept = Math.min(lineLength, MAX_LINE_BYTES - added);
+        if (lineLength + (to - from) > MAX_LINE_BYTES) {
+            String whole = text(line, 0, lineLength) + text(bytes, from, to);
+            statusLineDropped = statusLineDropped || StatusLine.isIn(whole);
+        }
         System.arraycopy(line, lineLength - kept, line, 0, kept);
         System.arraycopy(bytes, to - added, line, kept, added);
         lineLength = kept + added;
     }
 
-    private String lineText() {
-        int end = lineLength > 0 && line[lineLength - 1] == '\r' ? lineLength - 1 : lineLength;
-        return new String(line, 0, end, StandardCharsets.ISO_8859_1);
-    }
-
-    private void onLine(String text) {
-        if (hasStatusLine(text)) {
+    private void onLine() {
+        endsBehindHead = inHead && lineText().isEmpty();
+        if (lineHasStatusLine()) {
             inHead = true;
             return;
         }
-        if (!inHead) {
+        String text = lineText();
+        boolean folded = text.startsWith(" ") || text.startsWith("\t"); // continues the line before
+        if (!inHead || folded) {
             return;
         }
         Matcher header = HEADER_LINE.matcher(text);
@@ -134,36 +140,16 @@
         }
     }
 
-    private static boolean hasStatusLine(String text) {
-        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
+    private boolean lineHasStatusLine() {
+        return statusLineDropped || StatusLine.isIn(lineText());
     }
 
-    /** Returns whether the content ends within a status line that {@code following} may continue. */
-    private boolean endsWithPartOfStatusLine(String following) {
-        String ending = new String(
-                Arrays.copyOfRange(line, Math.max(0, lineLength - STATUS_LINE_FORM.length() + 1), lineLength),
-                StandardCharsets.ISO_8859_1);
-        for (int i = 0; i < ending.length(); i++) {
-            if (matchesForm(ending.substring(i) + following)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** Returns whether a text begins like a status line, or is the beginning of one. */
-    private static boolean matchesForm(String text) {
-        for (int i = 0; i < Math.min(text.length(), STATUS_LINE_FORM.length()); i++) {
-            char form = STATUS_LINE_FORM.charAt(i);
-            boolean matches = form == '0' ? Character.isDigit(text.charAt(i)) : text.charAt(i) == form;
-            if (!matches) {
-                return false;
-            }
-        }
-        return true;
+    private String lineText() {
+        int end = lineLength > 0 && line[lineLength - 1] == '\r' ? lineLength - 1 : lineLength;
+        return text(line, 0, end);
     }
 
-    private static String firstLine(String text) {
-        return text.split("\r?\n", 2)[0];
+    private static String text(byte[] bytes, int from, int to) {
+        return new String(bytes, from, to - from, StandardCharsets.ISO_8859_1);
     }
 }
--- a/proxy/src/main/java/firwheel/proxy/attempt/ResponseHeadCheck.java
+++ b/proxy/src/main/java/firwheel/proxy/attempt/ResponseHeadCheck.java
@@ -4,7 +4,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,9 +12,6 @@
  * fields that stand once in each response twice.
  */
 public final class ResponseHeadCheck {
-    /** A status line, as defined by RFC 9112, without the reason phrase. */
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]{3}(?![0-9])");
-
     private static final Set<String> SINGLE_HEADERS = Set.of("content-length", "content-type", "date");
     private static final String CONTENT_LENGTH = "content-length";
     private static final String TRANSFER_ENCODING = "transfer-encoding";
@@ -34,13 +30,13 @@
 
     /** Returns why the head does not come from one response, or null if it may. */
     public @Nullable String violation(String reasonPhrase, Iterable<Map.Entry<String, String>> headers) {
-        if (hasStatusLine(reasonPhrase)) {
+        if (StatusLine.isIn(reasonPhrase)) {
             return "status line in reason phrase " + quote(reasonPhrase);
         }
         Set<String> names = new HashSet<>();
         for (Map.Entry<String, String> header : headers) {
             String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (hasStatusLine(header.getValue())) {
+            if (StatusLine.isIn(header.getValue())) {
                 return "status line in header " + quote(name + ": " + header.getValue());
             }
             if (!names.add(name) && singleHeaders.contains(name)) {
@@ -57,17 +53,13 @@
     public @Nullable String trailerViolation(Iterable<Map.Entry<String, String>> trailers) {
         for (Map.Entry<String, String> trailer : trailers) {
             String name = trailer.getKey().toLowerCase(Locale.ROOT);
-            if (singleHeaders.contains(name) || hasStatusLine(trailer.getValue())) {
+            if (singleHeaders.contains(name) || StatusLine.isIn(trailer.getValue())) {
                 return "field of a head behind the content: " + quote(name + ": " + trailer.getValue());
             }
         }
         return null;
     }
 
-    private static boolean hasStatusLine(String text) {
-        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
-    }
-
     private static String quote(String text) {
         return "\"" + (text.length() <= MAX_QUOTED_CHARS ? text : text.substring(0, MAX_QUOTED_CHARS) + "...") + "\"";
     }
--- a/proxy/src/main/java/firwheel/proxy/server/TargetConnection.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -88,9 +89,13 @@
         ChannelHandlerContext context = this.socket.channelHandlerContext();
         context.pipeline().addBefore(context.name(), "request-encoder", new HttpRequestEncoder());
         context.pipeline().addBefore(context.name(), "response-decoder", decoder);
-        this.socket.messageHandler(message -> onMessage((TargetMessage) message));
-        this.socket.exceptionHandler(error -> onConnectionEnded("connection lost: " + error.getMessage()));
-        this.socket.endHandler(ignored -> onConnectionEnded("connection closed"));
+        this.socket.messageHandler(this::onMessage);
+        this.socket.exceptionHandler(error -> {}); // the decoder reports it in order, behind what was received before
+    }
+
+    /** Returns whether a request with an identifier was sent on the connection lately. */
+    boolean hasCarried(String attemptId) {
+        return sentIds.contains(attemptId);
     }
 
     /**
@@ -100,7 +105,7 @@
      */
     Future<Void> send(FullHttpRequest request, @Nullable String attemptId, Listener responseListener) {
         listener = responseListener;
-        scanner = new JoinedContentScanner(idHeader, sentIds::contains);
+        scanner = new JoinedContentScanner(idHeader, this::hasCarried);
         interimResponses = 0;
         if (attemptId != null) {
             if (sentIds.size() == MAX_REMEMBERED_IDS) {
@@ -133,7 +138,7 @@
         var unused = socket.close();
     }
 
-    private void onMessage(TargetMessage message) {
+    private void onMessage(Object message) {
         if (message instanceof TargetMessage.Head head) {
             onHead(head.response());
         } else if (message instanceof TargetMessage.Content content) {
@@ -144,6 +149,11 @@
             fail("no response: " + malformed.reason());
         } else if (message instanceof TargetMessage.Surplus surplus) {
             onSurplus(surplus.bytes());
+        } else if (message instanceof TargetMessage.ConnectionEnded connectionEnded) {
+            onConnectionEnded(connectionEnded.reason());
+        } else {
+            ReferenceCountUtil.release(message); // received before the decoder was there, so without a request
+            close();
         }
     }
 
@@ -216,6 +226,8 @@
         if (deciding) {
             following = following.copy().appendBuffer(bytes);
             decideBoundary();
+        } else if (listener != null) {
+            fail("bytes before the response"); // received while the connection was idle and paused
         } else {
             onIdle(IdleListener::onExtraBytes);
             close();
@@ -258,7 +270,7 @@
     }
 
     private Ending endingBehindContent() {
-        if (following.length() > 0) {
+        if (following.length() > 0 || decoder.surplusReceived()) {
             return Ending.EXTRA_BYTES;
         }
         return ended ? Ending.CLOSED : Ending.REUSABLE;
--- a/proxy/src/main/java/firwheel/proxy/server/TargetMessage.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetMessage.java
@@ -27,6 +27,9 @@
     /** Bytes that are no response. */
     record Malformed(String reason) implements TargetMessage {}
 
+    /** The connection has ended; nothing follows. */
+    record ConnectionEnded(String reason) implements TargetMessage {}
+
     /** How the end of a response is found. */
     enum Framing {
         LENGTH,
--- a/proxy/src/main/java/firwheel/proxy/server/TargetResponseDecoder.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetResponseDecoder.java
@@ -1,7 +1,9 @@
 package firwheel.proxy.server;
 
+import firwheel.proxy.attempt.ChunkFramingCheck;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -15,6 +17,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decodes the bytes of a connection to a target, one expected response at a time, to {@link TargetMessage}s. Stops at
@@ -24,6 +27,9 @@
     private static final int MAX_STATUS_LINE_BYTES = 4 * 1024;
     private static final int MAX_HEAD_BYTES = 16 * 1024;
 
+    private @Nullable ChunkFramingCheck chunkCheck;
+    private @Nullable String error;
+    private boolean surplusReceived;
     private boolean expecting;
     private boolean withoutContent;
     private boolean interim;
@@ -49,17 +55,40 @@
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
         if (!expecting) {
+            surplusReceived = true;
             out.add(new TargetMessage.Surplus(readAll(in)));
             return;
         }
+        int start = in.readerIndex();
+        ChunkFramingCheck check = chunkCheck;
         super.decode(context, in, out);
+        if (check != null) {
+            byte[] read = new byte[in.readerIndex() - start];
+            in.getBytes(start, read);
+            refuse(check.accept(read), out);
+        }
         translate(in, out, false);
     }
 
+    /** Returns whether bytes have arrived while no response was expected, delivered or not. */
+    boolean surplusReceived() {
+        return surplusReceived;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
+        error = String.valueOf(cause.getMessage());
+        super.exceptionCaught(context, cause);
+    }
+
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
         super.decodeLast(context, in, out);
+        if (error != null) {
+            expecting = false; // what a reset cuts off is not complete, even without a stated length
+        }
         translate(in, out, true);
+        out.add(new TargetMessage.ConnectionEnded(error == null ? "connection closed" : "connection lost: " + error));
     }
 
     @Override
@@ -89,9 +118,11 @@
             return;
         }
         if (part.decoderResult().isFailure()) {
+            Throwable cause = part.decoderResult().cause();
+            if (!(cause instanceof PrematureChannelClosureException)) {
+                refuse(String.valueOf(cause.getMessage()), out);
+            }
             expecting = false;
-            out.add(new TargetMessage.Malformed(
-                    String.valueOf(part.decoderResult().cause().getMessage())));
             return;
         }
         if (part instanceof HttpResponse response) {
@@ -99,6 +130,7 @@
             framing = HttpUtil.isTransferEncodingChunked(response)
                     ? TargetMessage.Framing.CHUNKS
                     : TargetMessage.Framing.LENGTH;
+            chunkCheck = framing == TargetMessage.Framing.CHUNKS ? new ChunkFramingCheck() : null;
             out.add(new TargetMessage.Head(response));
         }
         if (part instanceof HttpContent content && content.content().isReadable()) {
@@ -106,6 +138,7 @@
         }
         if (part instanceof LastHttpContent last && !interim) {
             expecting = false;
+            chunkCheck = null;
             out.add(new TargetMessage.End(
                     last.trailingHeaders(),
                     readAll(in),
@@ -113,6 +146,13 @@
         }
     }
 
+    private void refuse(@Nullable String violation, List<Object> out) {
+        if (violation != null && expecting) {
+            expecting = false;
+            out.add(new TargetMessage.Malformed(violation));
+        }
+    }
+
     private static Buffer readAll(ByteBuf bytes) {
         byte[] copy = new byte[bytes.readableBytes()];
         bytes.readBytes(copy);
--- a/proxy/src/test/java/firwheel/proxy/attempt/JoinedContentScannerTest.java
+++ b/proxy/src/test/java/firwheel/proxy/attempt/JoinedContentScannerTest.java
@@ -38,6 +38,13 @@
             }
         }
 
+        @Test
+        void withAHeadWithLongOrFoldedLinesIsFound() {
+            scanner.accept(bytes("first ansHTTP/1.1 200 " + "O".repeat(2_000) + "K\r\nVia: x,\r\n y\r\nAttempt: a1\r\n"));
+
+            assertThat(scanner.violation()).contains("attempt a1");
+        }
+
         @ParameterizedTest
         @ValueSource(
                 strings = {
@@ -79,6 +86,20 @@
             assertThat(scanner.atEnd(bytes(SECOND))).isEqualTo(Boundary.SOUND);
         }
 
+        /** Three responses, of which the second one breaks off exactly there, or has an interim one before it. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "first ansHTTP/1.1 200 OK\r\nContent-Type: te",
+                    "first ansHTTP/1.1 200 O",
+                    "first ansHTTP/1.1 100 Continue\r\n\r\n"
+                })
+        void withinOrBehindAHeadBeforeAWholeResponseIsJoined(String content) {
+            scanner.accept(bytes(content));
+
+            assertThat(scanner.atEnd(bytes(SECOND))).isEqualTo(Boundary.JOINED);
+        }
+
         @Test
         void beforeBytesThatContinueNothingIsSound() {
             scanner.accept(bytes("answer H"));
