Never send an attempt on a connection that has carried it before

Callers could get the late second response of an earlier run of the same attempt: the identifier is the same, so it counted for the later run. Since a connection was left out only after a failed run.

A connection remembers the attempts that it carried lately, and is not leased for one of them again.

--- a/proxy/src/main/java/firwheel/proxy/server/TargetConnectionPool.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetConnectionPool.java
@@ -12,10 +12,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,7 +26,6 @@
     private static final Duration DEFAULT_IDLE_TIMEOUT =
             Duration.ofMillis(400); // a target that states no keep-alive time may close after a second
     private static final double KEEP_ALIVE_SHARE = 0.6; // leaves time for a request in transit
-    private static final int MAX_FAILED_PER_CONNECTION = 32; // bounds the memory of a connection
     private static final int MAX_IDLE_PER_TARGET = 8; // about as many requests as a target processes concurrently
 
     /**
@@ -37,9 +34,8 @@
      * @param target target at the other end
      * @param connection the connection
      * @param reused whether it has carried earlier requests
-     * @param failedIds attempts to which the target has responded on it otherwise than with a success
      */
-    record Lease(Target target, TargetConnection connection, boolean reused, Set<String> failedIds) {}
+    record Lease(Target target, TargetConnection connection, boolean reused) {}
 
     /** Outcome of a new connection to a target. */
     enum Reachability {
@@ -48,7 +44,7 @@
         UNKNOWN
     }
 
-    private record IdleConnection(TargetConnection connection, Set<String> failedIds, long expiresNanos) {}
+    private record IdleConnection(TargetConnection connection, long expiresNanos) {}
 
     private final Vertx vertx;
     private final NetClient client;
@@ -104,19 +100,18 @@
     }
 
     /**
-     * Leases a connection to the target; opens a new one if {@code forceNew} is set or none is idle. A target that has
-     * responded to the attempt before may repeat that response, so the connection is another one.
+     * Leases a connection to the target; opens a new one if {@code forceNew} is set or none is idle. A connection
+     * that has carried the attempt before is not used for it again: a late response to the earlier run states the same
+     * identifier.
      */
     Future<Lease> acquire(Target target, @Nullable String attemptId, boolean forceNew) {
         IdleConnection idleConnection = forceNew ? null : takeIdle(target, attemptId);
         if (idleConnection != null) {
-            return Future.succeededFuture(
-                    new Lease(target, idleConnection.connection(), true, idleConnection.failedIds()));
+            return Future.succeededFuture(new Lease(target, idleConnection.connection(), true));
         }
         openedCount++;
         return client.connect(target.port(), target.ip())
-                .map(socket ->
-                        new Lease(target, new TargetConnection(vertx, socket, protocol), false, new HashSet<>()));
+                .map(socket -> new Lease(target, new TargetConnection(vertx, socket, protocol), false));
     }
 
     /** Returns whether the target still listens, by a new connection that is closed at once. */
@@ -135,15 +130,8 @@
         return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
 
-    /**
-     * Returns a connection to the pool after its response has ended normally.
-     *
-     * @param failedId attempt that may be sent again, since the response is no success; null otherwise
-     */
-    void release(Lease lease, ResponseHead head, @Nullable String failedId) {
-        if (failedId != null) {
-            lease.failedIds().add(failedId);
-        }
+    /** Returns a connection to the pool after its response has ended normally. */
+    void release(Lease lease, ResponseHead head) {
         long idleMillis = head.keepAliveMillis() == 0
                 ? DEFAULT_IDLE_TIMEOUT.toMillis()
                 : (long) (head.keepAliveMillis() * KEEP_ALIVE_SHARE);
@@ -151,13 +139,12 @@
                 idleConnections.computeIfAbsent(lease.target().key(), key -> new ArrayDeque<>());
         if (head.closesConnection()
                 || extraResponses.areLikely(lease.target())
-                || targetConnections.size() >= MAX_IDLE_PER_TARGET
-                || lease.failedIds().size() > MAX_FAILED_PER_CONNECTION) {
+                || targetConnections.size() >= MAX_IDLE_PER_TARGET) {
             lease.connection().close();
             return;
         }
-        IdleConnection idleConnection = new IdleConnection(
-                lease.connection(), lease.failedIds(), time.monotonicNanos() + idleMillis * 1_000_000L);
+        IdleConnection idleConnection =
+                new IdleConnection(lease.connection(), time.monotonicNanos() + idleMillis * 1_000_000L);
         lease.connection().setIdleListener(new TargetConnection.IdleListener() {
             @Override
             public void onClosed() {
@@ -201,7 +188,7 @@
         long now = time.monotonicNanos();
         while (targetConnections != null && !targetConnections.isEmpty()) {
             IdleConnection idleConnection = targetConnections.pop();
-            boolean repeated = attemptId != null && idleConnection.failedIds().contains(attemptId);
+            boolean repeated = attemptId != null && idleConnection.connection().hasCarried(attemptId);
             if (idleConnection.expiresNanos() > now && !repeated) {
                 idleConnection.connection().setIdleListener(null);
                 return idleConnection;
--- a/proxy/src/main/java/firwheel/proxy/server/TargetExchange.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetExchange.java
@@ -125,8 +125,7 @@
         if (ending != TargetConnection.Ending.REUSABLE || respondedEarly || responseHead.attemptId() == null) {
             lease.connection().close();
         } else {
-            boolean mayBeSentAgain = !responseHead.success() || !responseHead.signed() || responseHead.contentEncoded();
-            connections.release(lease, responseHead, mayBeSentAgain ? attemptId : null);
+            connections.release(lease, responseHead);
         }
         listener.onEnd();
     }
