Run no request that is not certainly one

A caller's request whose length is stated both by Content-Length and by chunks was read by its chunks, on a connection kept open, so a request inside its content ran by itself: the HTTP decoder drops the header before any of our code sees it. Transfer codings other than "chunked", and chunks in HTTP/1.0, were taken as no content or as chunks. With two Firwheel-Attempt-Id headers both were passed on to the target; of two Host, Authorization, Firwheel-Deadline-Ms or Content-Type headers the first one counted. A request cut within its head and followed by another one ran with the path of the first and the rest of the second.

RequestHeadCheck decides before a header is used: headers that stand once in a request, a request line at the end of a header's value, a method with the beginning of another one before it, the transfer coding. StrictRequestDecoder refuses both lengths at once; Vert.x has no option for it, so the decoder is replaced when a connection opens.

Contradicting lengths alone, a space before the colon and unreadable chunks were refused before.

--- a/proxy/src/main/java/firwheel/proxy/server/ClientResponse.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ClientResponse.java
@@ -13,7 +13,7 @@
 
     private final HttpServerRequest request;
     private final HttpServerResponse response;
-    private final boolean closeAfterResponse;
+    private boolean closeAfterResponse;
     private final Runnable onWritten;
     private boolean started;
     private boolean ended;
@@ -31,6 +31,11 @@
         return started;
     }
 
+    /** Closes the connection after the response. */
+    void closeAfterResponse() {
+        closeAfterResponse = true;
+    }
+
     /** Forwards a complete response. */
     void sendResponse(ResponseHead head, Buffer body) {
         if (ended) {
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyProtocol.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyProtocol.java
@@ -19,6 +19,9 @@
     /** Returns the protocol's headers that stand at most once in a response, in lower case. */
     Set<String> singleResponseHeaders();
 
+    /** Returns the protocol's headers that stand at most once in a request, in lower case. */
+    Set<String> singleRequestHeaders();
+
     /** Returns the names of further fields that events of a stream may have, in lower case. */
     Set<String> eventFields();
 
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -57,6 +57,7 @@
     private final ProxyState state;
     private final Set<RequestHandler> activeRequests = new HashSet<>();
     private final Map<HttpConnection, ClientConnection> clientConnections = new HashMap<>();
+    private final RequestHeadCheck headCheck;
     private @Nullable CompletableFuture<Void> drainFuture;
     private boolean gracePeriodEnded;
 
@@ -72,8 +73,12 @@
         void onStatement(Target target, boolean leaving, double requestsPerSecond);
     }
 
-    /** A client connection: the number of its open requests and, without any, the start of its idle time. */
+    /**
+     * A client connection: the number of its open requests, without any the start of its idle time, and whether a
+     * request was malformed, so that what follows it is none.
+     */
     private static final class ClientConnection {
+        private boolean malformed;
         private int openRequests;
         private long idleSinceNanos;
     }
@@ -87,6 +92,7 @@
             DoubleSupplier random,
             Supplier<RetryBudget> retryBudgetFactory) {
         this.vertx = vertx;
+        headCheck = new RequestHeadCheck(protocol.singleRequestHeaders());
         TargetConnectionPool connections = new TargetConnectionPool(vertx, time);
         TargetDirectory directory = new TargetDirectory(new TargetDirectory.Listener() {
             @Override
@@ -124,7 +130,7 @@
                 .setHttp2ClearTextEnabled(false)
                 .setTcpNoDelay(true);
         return vertx.createHttpServer(options)
-                .connectionHandler(this::onConnection)
+                .connectionHandler(connection -> onConnection(connection, options))
                 .requestHandler(this::onRequest)
                 .listen(port, ip)
                 .toCompletionStage()
@@ -287,12 +293,13 @@
         state.onTargetRegistered(target);
     }
 
-    private void onConnection(HttpConnection connection) {
+    private void onConnection(HttpConnection connection, HttpServerOptions options) {
         if (gracePeriodEnded) {
             // Nothing was read, so the client can safely send the request to another entry.
             var unused = connection.close();
             return;
         }
+        StrictRequestDecoder.install(connection, options);
         ClientConnection client = new ClientConnection();
         client.idleSinceNanos = state.time.monotonicNanos();
         clientConnections.put(connection, client);
@@ -301,9 +308,12 @@
 
     private void onRequest(HttpServerRequest request) {
         ClientConnection client = clientConnections.get(request.connection());
-        if (client != null) {
-            client.openRequests++;
+        if (client == null || client.malformed) {
+            return; // the connection is closed or being closed
         }
+        String violation = headCheck.violation(request);
+        client.malformed = violation != null;
+        client.openRequests++;
         RequestHandler handler =
                 new RequestHandler(state, request, state.protocol.readRequestMetadata(request), endedHandler -> {
                     onResponseWritten(client);
@@ -318,7 +328,7 @@
         request.response().closeHandler(ignored -> handler.onClientDisconnected());
         request.response().exceptionHandler(error -> handler.onClientDisconnected());
         request.exceptionHandler(error -> handler.onClientDisconnected());
-        readBody(request, handler);
+        readBody(request, handler, violation);
     }
 
     private static void rejectDraining(RequestHandler handler) {
@@ -326,7 +336,7 @@
                 ResultCode.DRAINING, "request was complete after the drain grace period", Duration.ZERO));
     }
 
-    private void readBody(HttpServerRequest request, RequestHandler handler) {
+    private void readBody(HttpServerRequest request, RequestHandler handler, @Nullable String violation) {
         RoutingConfig config = state.config();
         ClientLimits limits = config == null ? null : config.limits();
         Buffer body = Buffer.buffer();
@@ -334,6 +344,10 @@
             if (limits != null && body.length() + bytes.length() > limits.maxBodyBytes()) {
                 request.handler(null);
                 request.endHandler(null);
+                if (violation != null) {
+                    handler.rejectMalformed(violation);
+                    return;
+                }
                 handler.reject(new ErrorResponse(
                         ResultCode.BODY_TOO_LARGE,
                         CONTENT_TOO_LARGE,
@@ -344,7 +358,9 @@
             body.appendBuffer(bytes);
         });
         request.endHandler(ignored -> {
-            if (gracePeriodEnded) {
+            if (violation != null) {
+                handler.rejectMalformed(violation);
+            } else if (gracePeriodEnded) {
                 rejectDraining(handler);
             } else {
                 handler.start(body);
@@ -352,11 +368,9 @@
         });
     }
 
-    private void onResponseWritten(@Nullable ClientConnection client) {
-        if (client != null) {
-            client.openRequests--;
-            client.idleSinceNanos = state.time.monotonicNanos();
-        }
+    private void onResponseWritten(ClientConnection client) {
+        client.openRequests--;
+        client.idleSinceNanos = state.time.monotonicNanos();
     }
 
     private void onRequestEnd(RequestHandler handler) {
--- a/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
+++ b/proxy/src/main/java/firwheel/proxy/server/RequestHandler.java
@@ -133,6 +133,12 @@
         respondWithError("refused", error);
     }
 
+    /** Refuses a request that is not certainly one, and what follows it on its connection. */
+    void rejectMalformed(String violation) {
+        clientResponse.closeAfterResponse();
+        reject(ErrorResponse.of(ResultCode.MALFORMED_HTTP, violation, Duration.ZERO));
+    }
+
     private void respondWithError(String outcome, ErrorResponse error) {
         state.metrics.countErrorResponse(error.code());
         finish(outcome);
