Sign no failure between processes

A process that fails on a call answers status 500 with no content and a code over path and content. Behind a status line that was cut, as in "HTTP/1.1 200 O" + the whole failure, the caller read status 200 with an authentic empty reply. The code does not cover the status.

Only replies with status 200 carry the code.

--- a/mesh/src/main/java/firwheel/mesh/AuthenticatedHttp.java
+++ b/mesh/src/main/java/firwheel/mesh/AuthenticatedHttp.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -27,9 +28,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * HTTP calls between processes of one deployment, for content that does not fit into a datagram. Requests and replies
- * carry a message authentication code (MAC) over path and content, computed with the shared key. A call that receives
- * no reply closes its connection, which may be dead.
+ * HTTP calls between processes of one deployment, for content that does not fit into a datagram. Requests and
+ * successful replies carry a message authentication code (MAC) over path and content, computed with the shared key. A
+ * call that receives no reply closes its connection, which may be dead.
  */
 public final class AuthenticatedHttp {
     private static final String MAC_HEADER = "X-Code";
@@ -132,10 +133,11 @@
 
     private void respond(HttpServerRequest request, int status, byte[] reply) {
         bytesSent += reply.length;
-        var unused = request.response()
-                .setStatusCode(status)
-                .putHeader(MAC_HEADER, computeMac(request.path(), reply))
-                .end(Buffer.buffer(reply));
+        HttpServerResponse response = request.response().setStatusCode(status);
+        if (status == OK) { // a failure with a code would pass for success behind the status line of another reply
+            response.putHeader(MAC_HEADER, computeMac(request.path(), reply));
+        }
+        var unused = response.end(Buffer.buffer(reply));
     }
 
     private byte[] verifyReply(String path, int status, byte[] reply, @Nullable String mac) {
