--- a/proxy/src/main/java/firwheel/proxy/attempt/ResponseHeadCheck.java
+++ b/model/src/main/java/firwheel/model/ResponseHeadCheck.java
@@ -1,4 +1,4 @@
-package firwheel.proxy.attempt;
+package firwheel.model;
 
 import java.util.HashSet;
 import java.util.Locale;
--- a/proxy/src/main/java/firwheel/proxy/server/TargetExchange.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetExchange.java
@@ -1,7 +1,7 @@
 package firwheel.proxy.server;
 
+import firwheel.model.ResponseHeadCheck;
 import firwheel.proxy.attempt.JoinedContentScanner;
-import firwheel.proxy.attempt.ResponseHeadCheck;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
