Count no two responses as one in the agent and the platform's client

The agent passed a target's status 200, cut within its head, on to the caller with the failure behind it as a success; the client of the platform counted a write as done that was refused. Both check the head before they read it: the attempt has an unknown outcome (and its connection is reset), the call to the platform fails as one whose response is lost.

--- a/agent/src/main/java/firwheel/agent/AttemptExecution.java
+++ b/agent/src/main/java/firwheel/agent/AttemptExecution.java
@@ -1,6 +1,7 @@
 package firwheel.agent;
 
 import firwheel.admission.ResponseHead;
+import firwheel.model.ResponseHeadCheck;
 import firwheel.model.ResultCode;
 import firwheel.wire.AttemptMessage;
 import io.vertx.core.Vertx;
@@ -14,6 +15,7 @@
 import io.vertx.core.streams.ReadStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
@@ -26,6 +28,7 @@
     private static final String EVENT_STREAM = "text/event-stream";
     private static final byte[] TERMINATING_EVENT = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
     private static final String EVENT_DELIMITER = "\n\n";
+    private static final ResponseHeadCheck HEAD_CHECK = new ResponseHeadCheck(Set.of());
     private static final int INTERNAL_SERVER_ERROR = 500;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -128,6 +131,11 @@
         if (completed) {
             return;
         }
+        String violation = HEAD_CHECK.violation(response.statusMessage(), response.headers());
+        if (violation != null) {
+            fail(ResultCode.OUTCOME_UNKNOWN, "head is not that of one response: " + violation);
+            return;
+        }
         int status = response.statusCode();
         if (modelTarget && (status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE)) {
             refuse(ResultCode.TARGET_REFUSED, "the engine refused the request with status " + status);
--- a/store/src/main/java/firwheel/store/HttpPlatformClient.java
+++ b/store/src/main/java/firwheel/store/HttpPlatformClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import firwheel.model.FirwheelException;
+import firwheel.model.ResponseHeadCheck;
 import firwheel.model.ResultCode;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -17,6 +18,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
 
@@ -31,6 +33,7 @@
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final ResponseHeadCheck HEAD_CHECK = new ResponseHeadCheck(Set.of());
 
     private final HttpClient client;
     private final URI address;
@@ -116,6 +119,11 @@
     }
 
     private static Future<Response> readResponse(HttpClientResponse response) {
+        String violation = HEAD_CHECK.violation(response.statusMessage(), response.headers());
+        if (violation != null) {
+            var unused = response.request().connection().close();
+            return Future.failedFuture("head is not that of one response: " + violation);
+        }
         return response.body().map(body -> new Response(response.statusCode(), body));
     }
 
