--- a/proxy/src/main/java/firwheel/proxy/attempt/ChunkFramingCheck.java
+++ b/proxy/src/main/java/firwheel/proxy/attempt/ChunkFramingCheck.java
@@ -1,5 +1,6 @@
 package firwheel.proxy.attempt;
 
+import firwheel.model.StatusLine;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
--- a/proxy/src/main/java/firwheel/proxy/attempt/JoinedContentScanner.java
+++ b/proxy/src/main/java/firwheel/proxy/attempt/JoinedContentScanner.java
@@ -1,5 +1,6 @@
 package firwheel.proxy.attempt;
 
+import firwheel.model.StatusLine;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
--- a/proxy/src/main/java/firwheel/proxy/server/TargetConnection.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetConnection.java
@@ -1,7 +1,7 @@
 package firwheel.proxy.server;
 
+import firwheel.model.ResponseHeadCheck;
 import firwheel.proxy.attempt.JoinedContentScanner;
-import firwheel.proxy.attempt.ResponseHeadCheck;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.Future;
@@ -77,6 +78,7 @@
     private int interimResponses;
     private Buffer following = Buffer.buffer();
     private boolean deciding;
+    private boolean persistent;
     private boolean ended;
     private long decisionTimer = -1;
 
@@ -167,6 +169,7 @@
             interimResponses++;
             return;
         }
+        persistent = HttpUtil.isKeepAlive(response);
         if (listener != null) {
             MultiMap headers = MultiMap.caseInsensitiveMultiMap();
             for (Map.Entry<String, String> header : response.headers()) {
@@ -273,7 +276,7 @@
         if (following.length() > 0 || decoder.surplusReceived()) {
             return Ending.EXTRA_BYTES;
         }
-        return ended ? Ending.CLOSED : Ending.REUSABLE;
+        return ended || !persistent ? Ending.CLOSED : Ending.REUSABLE;
     }
 
     private void complete(Ending ending) {
--- a/proxy/src/test/java/firwheel/proxy/attempt/ChunkFramingCheckTest.java
+++ b/proxy/src/test/java/firwheel/proxy/attempt/ChunkFramingCheckTest.java
@@ -19,7 +19,9 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"5\r\nhello\r\n0\r\n\r\n", "A;x=\"y\"\r\n0123456789\r\n1 ; z\r\n.\r\n0\r\nExpires: never\r\n\r\n"})
+    @ValueSource(
+            strings = {"5\r\nhello\r\n0\r\n\r\n", "A;x=\"y\"\r\n0123456789\r\n1 ; z\r\n.\r\n0\r\nExpires: never\r\n\r\n"
+            })
     void soundBodiesPass(String body) {
         for (int partBytes = 1; partBytes < body.length(); partBytes++) {
             assertThat(check(body, partBytes)).isNull();
@@ -38,7 +40,9 @@
             })
     void linesThatAnotherResponseMayBeginInAreRefused(String body) {
         for (int partBytes = 1; partBytes < body.length(); partBytes++) {
-            assertThat(check(body, partBytes)).as("parts of %s bytes", partBytes).isNotNull();
+            assertThat(check(body, partBytes))
+                    .as("parts of %s bytes", partBytes)
+                    .isNotNull();
         }
     }
 }
--- a/proxy/src/test/java/firwheel/proxy/attempt/JoinedContentScannerTest.java
+++ b/proxy/src/test/java/firwheel/proxy/attempt/JoinedContentScannerTest.java
@@ -40,7 +40,8 @@
 
         @Test
         void withAHeadWithLongOrFoldedLinesIsFound() {
-            scanner.accept(bytes("first ansHTTP/1.1 200 " + "O".repeat(2_000) + "K\r\nVia: x,\r\n y\r\nAttempt: a1\r\n"));
+            scanner.accept(
+                    bytes("first ansHTTP/1.1 200 " + "O".repeat(2_000) + "K\r\nVia: x,\r\n y\r\nAttempt: a1\r\n"));
 
             assertThat(scanner.violation()).contains("attempt a1");
         }
