--- a/mesh/src/main/java/firwheel/mesh/Membership.java
+++ b/mesh/src/main/java/firwheel/mesh/Membership.java
@@ -19,6 +19,7 @@
 public final class Membership {
     private static final Duration ALIVE_TIMEOUT =
             Duration.ofSeconds(8); // eight heartbeats; gossip takes about five to spread
+    private static final Duration HEARD_TIMEOUT = Duration.ofSeconds(3); // three heartbeats
     private static final Duration RETENTION =
             Duration.ofSeconds(60); // a host that was partitioned off is contacted again within this time
 
@@ -62,6 +63,16 @@
         return alive().stream().filter(member -> member.role().equals(role)).toList();
     }
 
+    /**
+     * Returns the processes of a role whose heartbeats arrive. Processes that this one is cut off from are missing much
+     * earlier than from {@link #alive(String)}; of several hundred processes, some that are alive are missing as well.
+     */
+    public List<Member> heard(String role) {
+        return updatedWithin(HEARD_TIMEOUT).stream()
+                .filter(member -> member.role().equals(role))
+                .toList();
+    }
+
     /**
      * Returns the processes of a role that were alive within the retention time. They include live processes whose
      * heartbeats arrive late, as they do when there are many processes, and some that have ended.
--- a/mesh/src/test/java/firwheel/mesh/MembershipTest.java
+++ b/mesh/src/test/java/firwheel/mesh/MembershipTest.java
@@ -39,6 +39,21 @@
         }
     }
 
+    @Nested
+    final class Heard {
+        @Test
+        void excludesMemberThatIsAliveButCutOff() {
+            membership.merge(member("10.0.0.2", 1, 5));
+            membership.merge(member("10.0.0.3", 1, 5));
+            time.advance(Duration.ofSeconds(4));
+            membership.merge(member("10.0.0.3", 1, 9));
+
+            assertThat(membership.alive("entry")).hasSize(2);
+            assertThat(membership.heard("entry")).containsExactly(member("10.0.0.3", 1, 9));
+            assertThat(membership.heard("agent")).isEmpty();
+        }
+    }
+
     @Nested
     final class Alive {
         @Test
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -194,6 +194,9 @@
         List<Target> candidates = findAvailable(service, tried, now);
         candidates.removeIf(target ->
                 load(target).isFull(now, MAX_REPORT_AGE, usableSlots(target)) || !limits.allows(target.key()));
+        if (!candidates.stream().allMatch(directory::isInDoubt)) {
+            candidates.removeIf(directory::isInDoubt);
+        }
         return candidates;
     }
 
--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +32,7 @@
     private static final Logger logger = LoggerFactory.getLogger(TargetDirectory.class);
 
     private final Map<String, Target> byId = new LinkedHashMap<>();
+    private final Set<String> inDoubt = new HashSet<>();
     private final Set<Target.Key> leaving = newBoundedSet();
     private final Set<Target.Key> replaced = newBoundedSet();
     private final AddressClaims claims = new AddressClaims();
@@ -64,6 +66,7 @@
         if (!claimed && claims.isUnconfirmed(target.key())) {
             logClaim(target, "registered", Set.of());
         }
+        endDoubt(target.instanceId());
         Target previous = byId.put(target.instanceId(), target);
         rebuildIndex();
         if (previous != null && (target.draining() || !previous.key().equals(target.key()))) {
@@ -124,8 +127,29 @@
                 reinstated);
     }
 
+    /**
+     * Records that the registration of a target is gone, but may have expired although the target runs. Until it
+     * registers again or is removed, it gets requests only if no other target can take them.
+     */
+    public void putInDoubt(String instanceId) {
+        if (byId.containsKey(instanceId)) {
+            inDoubt.add(instanceId);
+        }
+    }
+
+    /** Records that a target in doubt has registered again. */
+    public void endDoubt(String instanceId) {
+        inDoubt.remove(instanceId);
+    }
+
+    /** Returns whether it is uncertain that a target is still registered. */
+    public boolean isInDoubt(Target target) {
+        return inDoubt.contains(target.instanceId());
+    }
+
     /** Removes a target; unknown identifiers are ignored. */
     public void remove(String instanceId) {
+        endDoubt(instanceId);
         Target previous = byId.remove(instanceId);
         if (previous != null) {
             rebuildIndex();
--- a/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
@@ -62,6 +62,43 @@
         }
     }
 
+    @Nested
+    final class RegistrationInDoubt {
+        @Test
+        void keepsRequestsAwayWhileOtherTargetsAreFree() {
+            TargetDirectory directory = directory(3, true);
+            TargetSelector selector = selector(directory);
+            directory.putInDoubt("i-0");
+            directory.putInDoubt("i-1");
+
+            for (int i = 0; i < 50; i++) {
+                assertThat(selector.select("svc", Set.of())).isEqualTo(rank(2, true));
+            }
+        }
+
+        /** A store that returns lacks the registrations of all targets that could not reach it either. */
+        @Test
+        void doesNotKeepRequestsAwayIfNoOtherTargetCanTakeThem() {
+            TargetDirectory directory = directory(3, true);
+            TargetSelector selector = selector(directory);
+            directory.putInDoubt("i-0");
+            selector.load(rank(1, true)).onReport(time.monotonicNanos(), 8, 1);
+
+            assertThat(selector.select("svc", Set.of(rank(2, true).key()))).isEqualTo(rank(0, true));
+        }
+
+        @Test
+        void endsWhenTheTargetRegistersAgain() {
+            TargetDirectory directory = directory(2, true);
+            TargetSelector selector = selector(directory);
+            directory.putInDoubt("i-0");
+            directory.put(rank(0, true));
+
+            assertThat(selector.select("svc", Set.of(rank(1, true).key()))).isEqualTo(rank(0, true));
+            assertThat(directory.isInDoubt(rank(0, true))).isFalse();
+        }
+    }
+
     @Nested
     final class Selection {
         @Test
