--- a/mesh/src/main/java/firwheel/mesh/AuthenticatedHttp.java
+++ b/mesh/src/main/java/firwheel/mesh/AuthenticatedHttp.java
@@ -6,10 +6,12 @@
 import firwheel.model.ResultCode;
 import firwheel.wire.SharedKey;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
@@ -35,6 +37,7 @@
 public final class AuthenticatedHttp {
     private static final String MAC_HEADER = "X-Code";
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300); // hosts are a few ms apart
+    private static final int MAX_REPLY_BYTES = 8 * 1024 * 1024; // more than the state of the largest deployment
     private static final int OK = 200;
     private static final int FORBIDDEN = 403;
     private static final int NOT_FOUND = 404;
@@ -92,13 +95,30 @@
         Future<byte[]> reply = client.request(options).compose(request -> {
             request.putHeader(MAC_HEADER, computeMac(path, content));
             bytesSent += content.length;
-            return request.send(Buffer.buffer(content)).compose(response -> response.body()
+            return request.send(Buffer.buffer(content)).compose(response -> readReply(path, response)
                     .map(body ->
                             verifyReply(path, response.statusCode(), body.getBytes(), response.getHeader(MAC_HEADER))));
         });
         return reply.toCompletionStage().toCompletableFuture();
     }
 
+    /** Reads a reply, which is not known to be a peer's before it is complete. */
+    private static Future<Buffer> readReply(String path, HttpClientResponse response) {
+        Promise<Buffer> promise = Promise.promise();
+        Buffer body = Buffer.buffer();
+        response.exceptionHandler(promise::tryFail);
+        response.endHandler(ignored -> promise.tryComplete(body));
+        response.handler(bytes -> {
+            if (body.length() + bytes.length() <= MAX_REPLY_BYTES) {
+                body.appendBuffer(bytes);
+            } else if (promise.tryFail(new FirwheelException(
+                    ResultCode.LINK_LOST, "reply to " + path + " exceeds " + MAX_REPLY_BYTES + " bytes"))) {
+                var unused = response.request().connection().close();
+            }
+        });
+        return promise.future();
+    }
+
     private void handle(HttpServerRequest request, byte[] content) {
         String path = request.path();
         bytesReceived += content.length;
--- a/mesh/src/test/java/firwheel/mesh/AuthenticatedHttpTest.java
+++ b/mesh/src/test/java/firwheel/mesh/AuthenticatedHttpTest.java
@@ -42,6 +42,38 @@
                 .join();
     }
 
+    /** The address of a process that has ended may be another program's. */
+    @Test
+    void repliesWithoutEndAreGivenUp() {
+        Buffer block = Buffer.buffer(new byte[64 * 1024]);
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        vertx.createNetServer()
+                .connectHandler(caller -> {
+                    long timer = vertx.setPeriodic(1, id -> {
+                        while (!caller.writeQueueFull()) {
+                            var unused = caller.write(block);
+                        }
+                    });
+                    caller.closeHandler(ignored -> {
+                        vertx.cancelTimer(timer);
+                        closed.complete(null);
+                    });
+                    caller.handler(request -> {});
+                    var unused = caller.write("HTTP/1.1 200 OK\r\n\r\n");
+                })
+                .listen(PORT, RELAY_IP)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
+        AuthenticatedHttp process = new AuthenticatedHttp(vertx, new SharedKey("secret"), PORT);
+
+        CompletableFuture<String> failure = process.call(RELAY_IP, PATH, new byte[1], TIMEOUT)
+                .handle((reply, error) -> error == null ? "none" : String.valueOf(error.getMessage()));
+
+        assertThat(failure).succeedsWithin(TIMEOUT).asString().contains("exceeds 8388608 bytes");
+        assertThat(closed).succeedsWithin(TIMEOUT);
+    }
+
     @Test
     void failuresBehindACutReplyAreNoReply() {
         AuthenticatedHttp process = new AuthenticatedHttp(vertx, new SharedKey("secret"), PORT);
