Keep requests from targets in doubt only while others have free slots

By reading: targets of plain services report no load, so none of them counts as full. After an outage in which all registrations expired, the first target to register again would have got all requests of its service until the others were back.

Change: targets in doubt, or avoided for malformed responses, are left out only if another one has a free slot, by its report or, without one, if all entries have sent it as many requests as this one.

Evidence: TargetSelectorTest.RegistrationInDoubt. doesNotGatherRequestsAtTargetsWithoutReports, which the rule before contradicts (it chose the only target not in doubt always).

--- a/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
@@ -177,6 +177,16 @@
                 : inFlight;
     }
 
+    /**
+     * Returns the number of requests at the target by the last report or, if it is older than {@code maxReportAge}, if
+     * each of {@code entryCount} entries has sent as many as this one.
+     */
+    public int expectedRequests(long nowNanos, Duration maxReportAge, int entryCount) {
+        return hasRecentReport(nowNanos, maxReportAge)
+                ? estimatedRequests(nowNanos, maxReportAge)
+                : inFlight * entryCount;
+    }
+
     /** Returns whether a report that is not older than {@code maxReportAge} leaves none of {@code slots} free. */
     public boolean isFull(long nowNanos, Duration maxReportAge, int slots) {
         return hasRecentReport(nowNanos, maxReportAge) && estimatedRequests(nowNanos, maxReportAge) >= slots;
--- a/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetSelector.java
@@ -197,12 +197,17 @@
                 load(target).isFull(now, MAX_REPORT_AGE, usableSlots(target)) || !limits.allows(target.key()));
         Predicate<Target> lastResort =
                 target -> directory.isInDoubt(target) || load(target).isAvoided(now);
-        if (!candidates.stream().allMatch(lastResort)) {
+        if (candidates.stream().anyMatch(target -> !lastResort.test(target) && isFree(target, now))) {
             candidates.removeIf(lastResort);
         }
         return candidates;
     }
 
+    /** Returns whether a slot of a target is free by its report or, without one, if all entries send alike. */
+    private boolean isFree(Target target, long now) {
+        return load(target).expectedRequests(now, MAX_REPORT_AGE, entryCount) < target.slots();
+    }
+
     private int usableSlots(Target target) {
         FillLimit limit = fillLimits.get(target.service());
         return limit == null || target.group() == null ? target.slots() : limit.slots(target.slots());
--- a/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
+++ b/proxy/src/test/java/firwheel/proxy/balance/TargetSelectorTest.java
@@ -14,6 +14,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -106,6 +107,22 @@
             assertThat(selector.select("svc", Set.of(rank(2, true).key()))).isEqualTo(rank(0, true));
         }
 
+        /** Targets of plain services report no load; few of them may have registered again after an outage. */
+        @Test
+        void doesNotGatherRequestsAtTargetsWithoutReports() {
+            TargetDirectory directory = directory(3, true);
+            TargetSelector selector = selector(directory);
+            selector.setEntryCount(4);
+            directory.putInDoubt("i-0");
+            directory.putInDoubt("i-1");
+            selector.load(rank(2, true)).onSend();
+            assertThat(selector.select("svc", Set.of())).isEqualTo(rank(2, true));
+            selector.load(rank(2, true)).onSend();
+
+            assertThat(IntStream.range(0, 50).mapToObj(i -> selector.select("svc", Set.of())))
+                    .contains(rank(0, true), rank(1, true));
+        }
+
         @Test
         void endsWhenTheTargetRegistersAgain() {
             TargetDirectory directory = directory(2, true);
