--- a/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
+++ b/proxy/src/main/java/firwheel/proxy/balance/TargetLoad.java
@@ -107,7 +107,7 @@
         return !avoided && isAvoided(nowNanos);
     }
 
-    /** Returns whether the target is to get requests only if no other can take them. */
+    /** Returns whether the target is to get requests only if no other has a free slot. */
     public boolean isAvoided(long nowNanos) {
         return malformedResponses >= MALFORMED_WHEN_AVOIDED && isMalformedRecently(nowNanos);
     }
--- a/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
+++ b/proxy/src/main/java/firwheel/proxy/targets/TargetDirectory.java
@@ -129,7 +129,7 @@
 
     /**
      * Records that the registration of a target is gone, but may have expired although the target runs. Until it
-     * registers again or is removed, it gets requests only if no other target can take them.
+     * registers again or is removed, it gets requests only if no other target has a free slot.
      */
     public void putInDoubt(String instanceId) {
         if (byId.containsKey(instanceId)) {
