--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -157,6 +157,7 @@
         self.writers = set()
 
     async def listen(self, port=0):
+        self.ended = False
         self.server = await http1.serve(self.ip, self.handle, port)
         self.port = self.server.sockets[0].getsockname()[1]
 
@@ -172,13 +173,17 @@
         self.removed = await self.deployment.store.put("servers", self.name, None)
 
     def end(self):
-        """Ends as a process does: what it runs is cut off."""
+        """Ends as a process does: what it runs is cut off, and what is just being accepted."""
+        self.ended = True
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
         self.record.write(self.name, "ended")
 
     async def handle(self, reader, writer):
+        if self.ended:
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             await self.converse(reader, writer)
