--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -6,11 +6,11 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import tempfile
 import time
-import tomllib
 
 import http1
 import store as store_module
@@ -71,11 +71,22 @@
     return re.sub(r"\{\{([A-Za-z.0-9]+)(\|json)?\}\}", value, template)
 
 
+def read_role(role):
+    """Returns the texts of a role in the deploy file."""
+    fields, section = {}, ""
+    for line in (ROOT / "deploy" / "system.toml").read_text().splitlines():
+        if line.startswith("["):
+            section = line
+        elif section == f"[roles.{role}]" and (match := re.match(r'(\w+) = "(.*)"$', line)):
+            fields[match.group(1)] = match.group(2)
+    return fields
+
+
 class Program:
     """A program of the deploy file on one machine."""
 
     def __init__(self, role, fields, folder, record):
-        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"][role]
+        deploy = read_role(role)
         self.name = fields["nodeName"]
         self.ip = fields["ip"]
         self.front = fields["listen"].get("front", "")
@@ -330,12 +341,17 @@
             writer.close()
 
     async def stop(self):
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)  # what is cut off ends in errors
         for task in self.tasks:
             task.cancel()
         for program in self.programs:
             program.signal("CONT")
+            program.signal("KILL")
+        for program in self.programs:
             await program.kill()
         self.record.close()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.temporary, ignore_errors=True)
 
 
 def play(case):
@@ -345,10 +361,13 @@
 
     async def run():
         deployment = await case.make(folder)
+        main = asyncio.current_task()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(name, lambda: main.cancelling() or main.cancel())
         try:
             return await asyncio.wait_for(case.run(deployment, trouble), 112)
-        except (asyncio.TimeoutError, OSError, SystemExit) as error:
-            deployment.record.say(f"the case could not run: {error!r}; logs in {deployment.temporary}")
+        except (asyncio.TimeoutError, asyncio.CancelledError, OSError, SystemExit) as error:
+            deployment.record.say(f"the case could not run: {error!r}; KEEP_LOGS=1 keeps the logs")
             return None
         finally:
             await deployment.stop()
