--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,7 @@
-"""One entry is cut off for a moment while a part of prompts crashes workers: a sound part is refused from then on."""
+"""All agents are killed while orders are late: a new controller holds the group at a step whose end is still on its way."""
 
 import asyncio
-import os
+import json
 import pathlib
 import random
 import sys
@@ -12,193 +12,343 @@
 import deployment as d  # noqa: E402
 import http1  # noqa: E402
 
-MODEL_SERVICE = "draft-model"
-RANKS = 12
-FIRST_PART, CRASHING_PART = "5c1e07a2", "dead0bad"
-REQUESTS_PER_SECOND = 39  # as on the sheet
-FIRST_EVENT_SECONDS, EVENT_SECONDS, EVENTS = 0.3, 0.06, 12
-STALL_SECONDS, DOWN_SECONDS, FORM_SECONDS = 1.5, 2.0, 0.6  # stall_ms, "back after some seconds", form_ms
-CALM_SECONDS, CRASHES_SECONDS, AFTER_SECONDS = 8, 22, 20
-CUT_SECONDS = 1.5  # the site's own days cut single machines off for up to 12 s, with reset for 8 s
-CONTACT = d.BOUNDS["contactMs"] / 1000
+SERVICE = "draft-model"
+RANKS, SETS, EXPERTS, PLACES, SPARE = 4, 2, 16, 6, 2
+HOLD_RANK = RANKS - 1
+PASS_SECONDS, EXPERT_LOAD_SECONDS, PICKS = 0.012, 0.035, 600
+SHORT_EVENTS, LONG_EVENTS = 3, 25
+LEAD_STEPS = 2  # from the last pass of an idle group to the step of a hold
+LATE_SECONDS = (2.0, 12.0)  # "carried out 2 to 12 s later"
+AFTER_NEWER_SECONDS = 0.35
+DISRUPTION_SECONDS = 6.0  # the longest applied_late on the days of the site; played at most twice in a row
+LATE_SHARE = 0.5  # of the orders
+UNANSWERED_GOS = 3  # to end the hold at one step
+CYCLES = 4
+
+
+class Rank:
+    def __init__(self, number, group, ip):
+        self.number, self.group, self.ip = number, group, ip
+        self.version, self.highest, self.seq, self.running = 0, 0, 0, 0
+        self.experts = [[e for e in range(EXPERTS) if e % RANKS == number] for _ in range(SETS)]
+        self.prepared, self.prepared_experts, self.preparing = None, None, None
+        self.armed, self.armed_step, self.held = None, None, None
+        self.counts = [0] * (SETS * EXPERTS)
+
+    async def listen(self):
+        self.server = await http1.serve(self.ip, self.handle)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def membership(self):
+        return {"name": "g-1", "epoch": 1, "rank": self.number, "state": "open"}
+
+    def entry(self):
+        return {"service": SERVICE, "address": f"{self.ip}:{self.port}", "zone": "zone-a", "version": "v1", "slots": 8,
+                "state": "ready", "coldRemainingMs": 0, "stage": "prefill_decode", "seq": 1, "born": self.group.born,
+                "models": [{"name": "m", "version": 1, "adapters": []}], "group": self.membership()}
+
+    def report(self):
+        return {"stage": "prefill_decode", "models": [{"name": "m", "version": 1, "adapters": []}],
+                "busy": self.preparing is not None, "seq": self.seq, "waiting": 0, "running": self.running, "kvUsed": 0,
+                "kvTotal": 248000, "handles": 0, "pace": 1, "size": RANKS, "step": self.group.step,
+                "born": self.group.born, "group": self.membership(), "map": {"version": self.version},
+                "prepared": None if self.prepared is None else {"version": self.prepared},
+                "armed": None if self.armed is None else {"version": self.armed, "step": self.armed_step},
+                "held": self.held}
+
+    def picked(self, lists):
+        if not lists:
+            return {"step": self.group.step, "epoch": 1, "counts": self.counts, "born": self.group.born}
+        answer = {"step": self.group.step, "epoch": 1, "born": self.group.born,
+                  "map": {"version": self.version, "experts": self.experts}}
+        if self.prepared is not None:
+            answer["prepared"] = {"version": self.prepared, "experts": self.prepared_experts}
+        return answer
+
+    async def handle(self, reader, writer):
+        while True:
+            head = await http1.read_head(reader)
+            if head is None:
+                return
+            body = await http1.read_body(reader, head)
+            path = head.first_line.split(" ")[1]
+            if path.startswith("/report"):
+                self.answer(writer, 200, self.report())
+            elif path.startswith("/picked"):
+                self.answer(writer, 200, self.picked("lists" in path))
+            elif path == "/order":
+                status = self.group.take(self, json.loads(body))
+                if status is None:
+                    await asyncio.sleep(15)
+                    return
+                self.answer(writer, status, {})
+            else:
+                await self.stream(head, path, writer)
+            await writer.drain()
+
+    @staticmethod
+    def answer(writer, status, fields):
+        content = json.dumps(fields).encode()
+        writer.write(http1.head_bytes(f"HTTP/1.1 {status} X", [
+            ("Content-Type", "application/json"), ("Content-Length", len(content))]) + content)
+
+    async def stream(self, head, path, writer):
+        attempt = head.get("firwheel-attempt-id")
+        writer.write(http1.head_bytes("HTTP/1.1 200 OK", [
+            ("Firwheel-Attempt-Id", attempt), ("Firwheel-Response-Seal", f"seal.{attempt}"),
+            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]))
+        self.running += 1
+        try:
+            for number in range(int(head.get("last-event-id", "0")) + 1, int(path.split("/")[2]) + 1):
+                before = self.group.step
+                while self.group.step == before:
+                    await asyncio.sleep(0.002)
+                writer.write(http1.chunk(f"id: {number}\ndata: token\n\n".encode()))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
 
 
 class Group:
-    """Ranks that run each pass together: when one crashes, all stall, and it is formed again when that one is back."""
+    """A lock-step group of model workers with expert maps, as PROTOCOL.md describes it."""
 
     def __init__(self, deployment):
         self.deployment = deployment
-        self.epoch = 1
-        self.open = True
-        self.ranks = []
-        self.lost = ""
-        self.crashes = []  # times
-        self.broken = asyncio.Event()
-
-    async def start(self):
-        for number in range(RANKS):
-            rank = Rank(f"m-{number}-1", self.deployment, self, number)
-            await rank.listen()
-            self.ranks.append(rank)
-            await rank.register()
-
-    async def crash(self, rank):
-        if not self.open:
-            return
-        self.open = False
-        self.crashes.append(time.monotonic())
-        self.lost = f"{rank.ip}:{rank.port}"
-        self.broken.set()
-        self.deployment.record.say(f"crash {len(self.crashes)}: {rank.name} has begun to write on part {CRASHING_PART}")
-        rank.end()
-        await self.register_all(except_rank=rank)
-        await asyncio.sleep(DOWN_SECONDS)
-        successor = Rank(f"m-{rank.number}-{len(self.crashes) + 1}", self.deployment, self, rank.number)
-        await successor.listen(rank.port)
-        self.ranks[rank.number] = successor
-        await self.deployment.store.put("servers", rank.name, None)
-        await successor.register()
-        await asyncio.sleep(FORM_SECONDS)
-        self.epoch += 1
-        self.open = True
-        self.broken = asyncio.Event()
-        await self.register_all()
-
-    async def register_all(self, except_rank=None):
+        self.record = deployment.record
+        self.born = int(time.time() * 1000)
+        self.step, self.hot = 1, 0
+        self.ranks = [Rank(i, self, f"{deployment.network}.{10 + i}") for i in range(RANKS)]
+        self.broken = False
+        self.late_until = 0.0
+        self.orders, self.unanswered, self.gos = 0, 0, {}
+        self.late_gos = {}  # step -> times at which orders to end a hold there were taken and not answered
+        self.on_hold = lambda step: None
+        self.tries = []
+
+    async def run_passes(self):
+        while True:
+            await asyncio.sleep(PASS_SECONDS)
+            following = self.step + 1
+            if any(rank.running for rank in self.ranks) and all(rank.held != following for rank in self.ranks):
+                self.begin_pass(following)
+
+    def begin_pass(self, following):
+        self.step = following
         for rank in self.ranks:
-            if rank is not except_rank:
-                await rank.register()
-
-
-class Rank(d.Worker):
-    def __init__(self, name, deployment, group, number):
-        super().__init__(name, deployment)
-        self.group = group
-        self.number = number
-
-    def entry(self, state="ready"):
-        return {**super().entry(state), "service": MODEL_SERVICE, "stage": "prefill_decode",
-                "models": [{"name": "m", "version": 1, "adapters": []}],
-                "group": {"name": "g-1", "epoch": self.group.epoch, "rank": self.number,
-                          "state": "open" if self.group.open else "broken"}}
-
-    async def respond(self, run, head, body, writer):
-        common = [("Firwheel-Attempt-Id", run.attempt)]
-        group = self.group
-        broken = group.broken
-        refusal = http1.head_bytes("HTTP/1.1 503 Service Unavailable", common + [
-            ("Firwheel-Not-Executed", "1"), ("At-Server", group.lost), ("Content-Length", 0)])
-        if not group.open or await self.stalls(broken, FIRST_EVENT_SECONDS):
-            writer.write(refusal)
-            return True
-        if CRASHING_PART in head.get("firwheel-prompt-prefix"):
-            run.executed = True
-            asyncio.ensure_future(group.crash(self))
-            return False
-        run.executed = True
-        self.record.write(self.name, f"begins {run.attempt}")
-        writer.write(http1.head_bytes("HTTP/1.1 200 OK", common + [
-            ("Firwheel-Response-Seal", f"seal.{run.attempt}"), ("Firwheel-Weight-Versions", 1),
-            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]))
-        for number in range(int(head.get("last-event-id", "0")) + 1, EVENTS + 1):
-            writer.write(http1.chunk(f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()))
-            await writer.drain()
-            if await self.stalls(broken, EVENT_SECONDS):
-                return False
-        writer.write(b"0\r\n\r\n")
-        return True
-
-    async def stalls(self, broken, seconds):
-        """Works for a time; returns whether the group was broken meanwhile, after the time for which its ranks stall."""
-        try:
-            await asyncio.wait_for(broken.wait(), seconds)
-        except asyncio.TimeoutError:
-            return False
-        await asyncio.sleep(STALL_SECONDS)
-        return True
+            if rank.armed is not None and rank.armed_step == following:
+                rank.version, rank.experts, rank.armed, rank.armed_step = rank.armed, rank.prepared_experts, None, None
+                self.record.write(f"rank {rank.number}", f"switches to map {rank.version} at pass {following}")
+            if rank.running:
+                for i in range(SETS * EXPERTS):
+                    hot = i % EXPERTS % RANKS == self.hot
+                    rank.counts[i] += 5 * PICKS // EXPERTS if hot else PICKS // EXPERTS // 3
+        versions = [rank.version for rank in self.ranks]
+        if len(set(versions)) > 1 and not self.broken:
+            self.broken = True
+            self.record.say(f"MAP: pass {following} begins with maps {versions}")
+
+    def is_late(self):
+        return time.monotonic() < self.late_until and self.unanswered + 1 <= LATE_SHARE * self.orders
+
+    def take(self, rank, order):
+        """Carries out an order and returns the status of its answer, or leaves it unanswered and returns None."""
+        self.orders += 1
+        operation, step = order["operation"], order.get("step")
+        late = operation == "arm" and rank.number == 0
+        if operation == "go" and rank.number == HOLD_RANK and rank.held == step:
+            self.gos[step] = self.gos.get(step, 0) + 1
+            late = self.gos[step] <= UNANSWERED_GOS
+        brief = " ".join(str(order[field]) for field in ("operation", "version", "step") if field in order)
+        if late and self.is_late():
+            self.unanswered += 1
+            self.record.write(f"rank {rank.number}", f"takes and does not answer {brief}")
+            if operation == "go":
+                self.late_gos.setdefault(step, []).append(time.monotonic())
+            else:
+                self.deployment.spawn(self.carry_out_late(rank, order, brief, random.uniform(*LATE_SECONDS)))
+            return None
+        status = self.carry_out(rank, order)
+        self.record.write(f"rank {rank.number}", f"answers {status} to {brief}")
+        if operation == "hold" and status == 202:
+            self.tries.append(step)
+            # Orders to end a hold at this step that were taken seconds ago are carried out after the newer one.
+            for taken in self.late_gos.pop(step, []):
+                delay = time.monotonic() + AFTER_NEWER_SECONDS - taken
+                if LATE_SECONDS[0] <= delay <= LATE_SECONDS[1]:
+                    self.deployment.spawn(self.carry_out_late(rank, {"operation": "go", "step": step, "epoch": 1},
+                                                              f"go {step} of {delay:.1f} s before",
+                                                              AFTER_NEWER_SECONDS))
+            self.on_hold(step)
+        return status
+
+    async def carry_out_late(self, rank, order, brief, seconds):
+        await asyncio.sleep(seconds)
+        status = self.carry_out(rank, order)
+        self.record.write(f"rank {rank.number}", f"carries out late {brief}: {status}")
+
+    def carry_out(self, rank, order):
+        if order.get("epoch", 1) != 1:
+            return 409
+        return getattr(self, order["operation"])(rank, order)
+
+    def prepare(self, rank, order):
+        version = order["version"]
+        if version <= rank.highest or rank.armed is not None:
+            return 409
+        placement = [layer[rank.number] for layer in order["map"]]
+        new = [len(set(placement[s]) - set(rank.experts[s])) for s in range(SETS)]
+        if max(new) > SPARE:
+            return 409
+        rank.highest, rank.preparing = version, version
+        rank.seq += 1
+
+        async def copy():
+            await asyncio.sleep(sum(new) * EXPERT_LOAD_SECONDS)
+            if rank.preparing == version:
+                rank.prepared, rank.prepared_experts, rank.preparing = version, placement, None
+
+        self.deployment.spawn(copy())
+        return 202
+
+    def arm(self, rank, order):
+        version, step = order["version"], order["step"]
+        if rank.armed == version and rank.armed_step == step:
+            return 200
+        if rank.prepared != version or rank.preparing is not None or step <= self.step:
+            return 409
+        rank.armed, rank.armed_step = version, step
+        rank.seq += 1
+        return 202
+
+    def disarm(self, rank, order):
+        if rank.version == order["version"]:
+            return 409
+        if rank.armed != order["version"]:
+            return 200
+        rank.armed, rank.armed_step = None, None
+        rank.seq += 1
+        return 202
+
+    def hold(self, rank, order):
+        if rank.held == order["step"]:
+            return 200
+        if rank.held is not None or order["step"] <= self.step:
+            return 409
+        rank.held = order["step"]
+        rank.seq += 1
+        return 202
+
+    def go(self, rank, order):
+        if rank.held != order["step"]:
+            return 200
+        rank.held = None
+        rank.seq += 1
+        return 202
+
+    def calm(self):
+        return all(rank.held is None and rank.armed is None for rank in self.ranks)
 
 
 async def make(folder):
-    return d.Deployment(folder, entries=4, zones=("zone-a", "zone-b", "zone-c"))
+    return d.Deployment(folder, entries=1)
 
 
-async def send_sound(deployment, program):
-    while True:
-        deployment.spawn(send(deployment, program, f"{random.getrandbits(32):08x}:600"))
-        await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+async def request(deployment, events):
+    return await deployment.request(
+        deployment.programs[0], "POST", f"/drafts/{events}", b"draft", deadline_millis=8000, headers=[
+            ("Firwheel-Model", "m"), ("Firwheel-Token-Count", "100,50"), ("Firwheel-Prompt-Prefix", "5c1e07a2:100")])
 
 
-async def send_crashing(deployment, program):
-    """Requests with the part that crashes workers, no two alike."""
-    while True:
-        deployment.spawn(send(deployment, program, f"{CRASHING_PART}:100,{random.getrandbits(32):08x}:300", "crashing"))
-        await asyncio.sleep(1)
-
-
-async def send(deployment, program, parts, kind="sound"):
-    exchange = await deployment.request(
-        program, "POST", f"/drafts/{kind}", b'{"draft":"%016x"}' % random.getrandbits(64), deadline_millis=8000, headers=[
-            ("Firwheel-Model", "m"), ("Firwheel-Token-Count", "640,60"),
-            ("Firwheel-Prompt-Prefix", f"{FIRST_PART}:40,{parts}")])
-    return exchange
-
+async def until(condition, seconds):
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            return False
+        await asyncio.sleep(0.002)
+    return True
 
-def begun(deployment, since, until):
-    """Returns how many sound requests were sent in a time, and how many of them a worker began."""
-    began = {run.attempt for run in deployment.runs if run.executed}
-    sent = [e for e in deployment.exchanges if e.path == "/drafts/sound" and since <= e.sent < until]
-    return len(sent), sum(exchange.attempt in began for exchange in sent)
 
+def events_to_meet(group):
+    """Returns the length of a request after which a controller without memory holds at a step that was used before."""
+    now = time.monotonic()
+    lengths = [step - LEAD_STEPS - group.step for step, taken in group.late_gos.items() if now - min(taken) < 10]
+    return max([length for length in lengths if 1 <= length <= 20], default=SHORT_EVENTS)
 
-async def cut_off(deployment, group, program):
-    """Cuts one entry off from all other machines: what it has open is reset, and new connections are too.
 
-    No other entry has clients now, so that the workers close their listeners for the time.
-    """
-    deployment.record.write("link", f"{program.name} is cut off from all other machines, with resets")
-    deployment.store.links[program.ip].cut()
-    for rank in group.ranks:
-        rank.end()
-    await asyncio.sleep(CUT_SECONDS)
-    for rank in group.ranks:
-        await rank.listen(rank.port)
-    await deployment.store.links[program.ip].heal()
-    deployment.record.write("link", f"{program.name} reaches all others again")
+async def play_cycle(deployment, group, agents, number, trouble):
+    """Lets a controller try to change the map of an idle group, kills all agents, and lets the next one try."""
+    group.hot = (group.hot + 1) % RANKS
+    group.tries, group.gos, group.late_gos = [], {}, {}
+    if trouble:
+        group.late_until = time.monotonic() + DISRUPTION_SECONDS
+    for _ in range(2):
+        await request(deployment, SHORT_EVENTS)
+    idle = group.step
+    await until(lambda: len(group.tries) >= 5 and group.calm(), DISRUPTION_SECONDS)
+    await until(group.calm, 3)
+    deployment.record.say(f"cycle {number}: the group is idle at pass {idle}; held at {group.tries}")
+    before = [rank.highest for rank in group.ranks]
+    if trouble:
+        for agent in agents:
+            agent.signal("KILL")
+        for agent in agents:
+            await agent.child.wait()
+            await agent.start()
+        # The next controller prepares a version of its own at each rank before it does anything else.
+        await until(lambda: all(rank.highest > old for rank, old in zip(group.ranks, before)), 8)
+        await asyncio.sleep(0.6)
+        group.late_until = time.monotonic() + DISRUPTION_SECONDS
+    events = events_to_meet(group)
+    group.tries, group.gos = [], {}
+    group.hot = (group.hot + 1) % RANKS
+    requests = []
+    group.on_hold = lambda step: requests or requests.append(deployment.spawn(request(deployment, LONG_EVENTS)))
+    await request(deployment, events)
+    await until(lambda: group.broken or (requests and requests[0].done()), 7)
+    group.on_hold = lambda step: None
+    deployment.record.say(f"cycle {number}: the next controller held it at {group.tries}; pass {group.step}")
+    await until(group.calm, 4)
 
 
 async def run(deployment, trouble):
-    cuts = trouble and os.environ.get("CUT", "1") != "0"
-    await deployment.configure(routes=[
-        deployment.route("drafts", "streaming", timeoutMs=8000, targetLatencyMs=400, priority=1, resumable=True,
-                         sticky=True, gapAimMs=120, service=MODEL_SERVICE)])
+    await deployment.store.put("op", "config", {
+        "version": 7, "routes": [deployment.route(
+            "drafts", "streaming", timeoutMs=8000, targetLatencyMs=400, priority=1, resumable=True, sticky=True,
+            gapAimMs=120, service=SERVICE)],
+        "services": [{"name": SERVICE, "healthPath": "/health", "maxConnections": 386, "protocol": "h1", "tls": False,
+                      "engine": {"slots": 8, "kvCapacityTokens": 248000, "linkMbps": 180000.0, "stride": 5,
+                                 "step_ms": 5.85, "per_seq_ms": 0.53, "context_per_k": 0.054, "read_per_s": 61200.0,
+                                 "pairs_per_m": 0.325, "chunk": 512, "report_lag_ms": 200.0,
+                                 "usual": {"prompt": 835, "answer": 139}, "sets": SETS, "experts": EXPERTS,
+                                 "places": PLACES, "spare": SPARE, "expertMb": 780.0, "expertShare": 0.85,
+                                 "form_ms": 600.0}}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "tenants": [{"name": "tenant-1", "apiKeys": [d.KEY], "priority": 1}]})
     group = Group(deployment)
-    await group.start()
+    for rank in group.ranks:
+        await rank.listen()
+        await deployment.store.put("servers", f"m-{rank.number}", rank.entry())
+    deployment.spawn(group.run_passes())
     await deployment.start_entries()
-    program = deployment.programs[0]
-    deployment.spawn(send_sound(deployment, program))
-    await asyncio.sleep(2)
-    calm = time.monotonic()
-    await asyncio.sleep(CALM_SECONDS)
-    crashes = time.monotonic()
-    if trouble:
-        deployment.spawn(send_crashing(deployment, program))
-    await asyncio.sleep(CRASHES_SECONDS)
-    if cuts:
-        await cut_off(deployment, group, program)
-    else:
-        await asyncio.sleep(CUT_SECONDS)
-    since = max([time.monotonic() + CONTACT] + [moment + 2 * CONTACT for moment in group.crashes[:5]])
-    await asyncio.sleep(since + AFTER_SECONDS - time.monotonic())
-    before, after = begun(deployment, calm, crashes - 1), begun(deployment, since, since + AFTER_SECONDS - 1)
-    deployment.record.say(f"{len(group.crashes)} crashes; sound requests begun at the first attempt: {before[1]} of"
-                          f" {before[0]} outside disruption, {after[1]} of {after[0]} from 2 x contactMs after the crashes"
-                          " and contactMs after the cut on")
-    statuses = {}
-    for exchange in deployment.exchanges:
-        if exchange.path == "/drafts/sound" and exchange.sent >= since:
-            statuses[exchange.status] = statuses.get(exchange.status, 0) + 1
-    deployment.record.say(f"answers to them: {statuses}")
-    return min(before[0], after[0]) < 20 or after[1] / after[0] >= 0.5 * before[1] / before[0]
+    ports = json.loads(deployment.programs[0].settings.read_text())["peerPort"]
+    agents = [await deployment.make_program("agent", rank.number, rank.ip, ports, {},
+                                            app=f"{rank.ip}:{rank.port}", service=SERVICE) for rank in group.ranks]
+    for agent in agents:
+        await agent.start()
+    await asyncio.sleep(5)
+    for _ in range(3):
+        group.hot = (group.hot + 1) % RANKS
+        await request(deployment, 60)
+    if not await until(lambda: group.ranks[0].version > 0, 8):
+        deployment.record.say("no map was rolled out")
+        return None
+    for number in range(CYCLES):
+        await play_cycle(deployment, group, agents, number, trouble)
+        if group.broken:
+            break
+    deployment.record.say(f"{group.orders} orders, {group.unanswered} of them without an answer")
+    return not group.broken
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,118 +1,204 @@
-"""The entry that reads the store is cut off from it for a second: all others go on sending to a worker that has left."""
+"""One entry is cut off for a moment while a part of prompts crashes workers: a sound part is refused from then on."""
 
 import asyncio
+import os
 import pathlib
+import random
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "harness-2"))
 
 import deployment as d  # noqa: E402
-
-ROUNDS = 9
-CUT_SECONDS = 1.05  # the site's own days cut single machines off from the store for up to 5.5 s
-LEAVES_AFTER_SECONDS = 0.1  # after the cut has begun
-SERVES_ON_SECONDS = 5.0  # after its entry is gone: "drainMs ... and a little longer (at times many seconds)"
-REQUESTS_PER_SECOND = 50  # through each entry
-WORK_SECONDS = 0.1
+import http1  # noqa: E402
+
+MODEL_SERVICE = "draft-model"
+RANKS = 12
+FIRST_PART, CRASHING_PART = "5c1e07a2", "dead0bad"
+REQUESTS_PER_SECOND = 39  # as on the sheet
+FIRST_EVENT_SECONDS, EVENT_SECONDS, EVENTS = 0.3, 0.06, 12
+STALL_SECONDS, DOWN_SECONDS, FORM_SECONDS = 1.5, 2.0, 0.6  # stall_ms, "back after some seconds", form_ms
+CALM_SECONDS, CRASHES_SECONDS, AFTER_SECONDS = 8, 22, 20
+CUT_SECONDS = 1.5  # the site's own days cut single machines off for up to 12 s, with reset for 8 s
+CONTACT = d.BOUNDS["contactMs"] / 1000
+
+
+class Group:
+    """Ranks that run each pass together: when one crashes, all stall, and it is formed again when that one is back."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.epoch = 1
+        self.open = True
+        self.ranks = []
+        self.lost = ""
+        self.crashes = []  # times
+        self.broken = asyncio.Event()
+
+    async def start(self):
+        for number in range(RANKS):
+            rank = Rank(f"m-{number}-1", self.deployment, self, number)
+            await rank.listen()
+            self.ranks.append(rank)
+            await rank.register()
+
+    async def crash(self, rank):
+        if not self.open:
+            return
+        self.open = False
+        self.crashes.append(time.monotonic())
+        self.lost = f"{rank.ip}:{rank.port}"
+        self.broken.set()
+        self.deployment.record.say(f"crash {len(self.crashes)}: {rank.name} has begun to write on part {CRASHING_PART}")
+        rank.end()
+        await self.register_all(except_rank=rank)
+        await asyncio.sleep(DOWN_SECONDS)
+        successor = Rank(f"m-{rank.number}-{len(self.crashes) + 1}", self.deployment, self, rank.number)
+        await successor.listen(rank.port)
+        self.ranks[rank.number] = successor
+        await self.deployment.store.put("servers", rank.name, None)
+        await successor.register()
+        await asyncio.sleep(FORM_SECONDS)
+        self.epoch += 1
+        self.open = True
+        self.broken = asyncio.Event()
+        await self.register_all()
+
+    async def register_all(self, except_rank=None):
+        for rank in self.ranks:
+            if rank is not except_rank:
+                await rank.register()
+
+
+class Rank(d.Worker):
+    def __init__(self, name, deployment, group, number):
+        super().__init__(name, deployment)
+        self.group = group
+        self.number = number
+
+    def entry(self, state="ready"):
+        return {**super().entry(state), "service": MODEL_SERVICE, "stage": "prefill_decode",
+                "models": [{"name": "m", "version": 1, "adapters": []}],
+                "group": {"name": "g-1", "epoch": self.group.epoch, "rank": self.number,
+                          "state": "open" if self.group.open else "broken"}}
+
+    async def respond(self, run, head, body, writer):
+        common = [("Firwheel-Attempt-Id", run.attempt)]
+        group = self.group
+        broken = group.broken
+        refusal = http1.head_bytes("HTTP/1.1 503 Service Unavailable", common + [
+            ("Firwheel-Not-Executed", "1"), ("At-Server", group.lost), ("Content-Length", 0)])
+        if not group.open or await self.stalls(broken, FIRST_EVENT_SECONDS):
+            writer.write(refusal)
+            return True
+        if CRASHING_PART in head.get("firwheel-prompt-prefix"):
+            run.executed = True
+            asyncio.ensure_future(group.crash(self))
+            return False
+        run.executed = True
+        self.record.write(self.name, f"begins {run.attempt}")
+        writer.write(http1.head_bytes("HTTP/1.1 200 OK", common + [
+            ("Firwheel-Response-Seal", f"seal.{run.attempt}"), ("Firwheel-Weight-Versions", 1),
+            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]))
+        for number in range(int(head.get("last-event-id", "0")) + 1, EVENTS + 1):
+            writer.write(http1.chunk(f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()))
+            await writer.drain()
+            if await self.stalls(broken, EVENT_SECONDS):
+                return False
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def stalls(self, broken, seconds):
+        """Works for a time; returns whether the group was broken meanwhile, after the time for which its ranks stall."""
+        try:
+            await asyncio.wait_for(broken.wait(), seconds)
+        except asyncio.TimeoutError:
+            return False
+        await asyncio.sleep(STALL_SECONDS)
+        return True
 
 
 async def make(folder):
-    return d.Deployment(folder, entries=3)
+    return d.Deployment(folder, entries=4, zones=("zone-a", "zone-b", "zone-c"))
 
 
-async def send_all(deployment, program):
-    """Clients of one entry, safe and unsafe requests in turn."""
-    number = 0
+async def send_sound(deployment, program):
     while True:
-        number += 1
-        kind, method = ("safe", "GET") if number % 2 else ("unsafe", "POST")
-        deployment.spawn(deployment.request(program, method, f"/{kind}/{number}", b"" if method == "GET" else b"sheet"))
+        deployment.spawn(send(deployment, program, f"{random.getrandbits(32):08x}:600"))
         await asyncio.sleep(1 / REQUESTS_PER_SECOND)
 
 
-async def reader_of(deployment):
-    """Returns the entry that polls the store for changes to the list of workers."""
+async def send_crashing(deployment, program):
+    """Requests with the part that crashes workers, no two alike."""
     while True:
-        reading = [program for program in deployment.programs if deployment.store.polls(program.ip, "servers")]
-        if len(reading) == 1:
-            return reading[0]
-        await asyncio.sleep(0.1)
+        deployment.spawn(send(deployment, program, f"{CRASHING_PART}:100,{random.getrandbits(32):08x}:300", "crashing"))
+        await asyncio.sleep(1)
 
 
-async def begin_of_poll(deployment, program, table):
-    """Waits until an entry begins a poll for changes to a table, so that it has just had an answer."""
-    since = time.monotonic()
-    while not [moment for moment in deployment.store.polls(program.ip, table) if moment > since]:
-        if time.monotonic() > since + 3:
-            return
-        await asyncio.sleep(0.002)
+async def send(deployment, program, parts, kind="sound"):
+    exchange = await deployment.request(
+        program, "POST", f"/drafts/{kind}", b'{"draft":"%016x"}' % random.getrandbits(64), deadline_millis=8000, headers=[
+            ("Firwheel-Model", "m"), ("Firwheel-Token-Count", "640,60"),
+            ("Firwheel-Prompt-Prefix", f"{FIRST_PART}:40,{parts}")])
+    return exchange
 
 
-async def play_round(deployment, number, trouble):
-    worker = d.Worker(f"i-leaves-{number}", deployment, work_seconds=WORK_SECONDS)
-    await worker.listen()
-    await worker.register()
-    await asyncio.sleep(2)
-    reader = await reader_of(deployment)
-    await begin_of_poll(deployment, reader, "op")
-    await asyncio.sleep(0.02)
-    if trouble:
-        deployment.record.write("link", f"{reader.name} is cut off from the store; connections are refused")
-        deployment.store.links[reader.ip].cut()
-    await asyncio.sleep(LEAVES_AFTER_SECONDS)
-    await worker.unregister()
-    await asyncio.sleep(CUT_SECONDS - LEAVES_AFTER_SECONDS)
-    if trouble:
-        await deployment.store.links[reader.ip].heal()
-        reader.disturbed = time.monotonic()
-        deployment.record.write("link", f"{reader.name} reaches the store again")
-    await asyncio.sleep(SERVES_ON_SECONDS)
-    worker.end()
-    return worker
-
-
-def late_requests(deployment, worker):
-    """Requests that break DRAIN: taken by an entry in touch and at the worker later than drainMs after its removal."""
-    sent = {exchange.attempt: exchange for exchange in deployment.exchanges}
-    contact = d.BOUNDS["contactMs"] / 1000
-    late = []
-    for run in deployment.runs:
-        exchange = sent.get(run.attempt)
-        if run.worker is worker and exchange is not None and run.executed:
-            in_touch = run.arrived - exchange.program.disturbed > contact
-            if run.arrived > worker.removed + d.BOUNDS["drainMs"] / 1000 and in_touch:
-                late.append((run, exchange))
-    return late
+def begun(deployment, since, until):
+    """Returns how many sound requests were sent in a time, and how many of them a worker began."""
+    began = {run.attempt for run in deployment.runs if run.executed}
+    sent = [e for e in deployment.exchanges if e.path == "/drafts/sound" and since <= e.sent < until]
+    return len(sent), sum(exchange.attempt in began for exchange in sent)
+
+
+async def cut_off(deployment, group, program):
+    """Cuts one entry off from all other machines: what it has open is reset, and new connections are too.
+
+    No other entry has clients now, so that the workers close their listeners for the time.
+    """
+    deployment.record.write("link", f"{program.name} is cut off from all other machines, with resets")
+    deployment.store.links[program.ip].cut()
+    for rank in group.ranks:
+        rank.end()
+    await asyncio.sleep(CUT_SECONDS)
+    for rank in group.ranks:
+        await rank.listen(rank.port)
+    await deployment.store.links[program.ip].heal()
+    deployment.record.write("link", f"{program.name} reaches all others again")
 
 
 async def run(deployment, trouble):
-    await deployment.configure()
-    for i in range(3):
-        worker = d.Worker(f"i-{i}", deployment, work_seconds=WORK_SECONDS)
-        await worker.listen()
-        await worker.register()
+    cuts = trouble and os.environ.get("CUT", "1") != "0"
+    await deployment.configure(routes=[
+        deployment.route("drafts", "streaming", timeoutMs=8000, targetLatencyMs=400, priority=1, resumable=True,
+                         sticky=True, gapAimMs=120, service=MODEL_SERVICE)])
+    group = Group(deployment)
+    await group.start()
     await deployment.start_entries()
-    for program in deployment.programs:
-        deployment.spawn(send_all(deployment, program))
-    await asyncio.sleep(5)
-    broken = 0
-    for number in range(ROUNDS):
-        worker = await play_round(deployment, number, trouble)
-        late = late_requests(deployment, worker)
-        entries = sorted({exchange.program.name for _, exchange in late})
-        deployment.record.say(f"round {number}: {len(late)} requests reached {worker.name} over {d.BOUNDS['drainMs']} ms"
-                              f" after the store had dropped its entry, sent by entries in touch"
-                              + (f"; the last {late[-1][0].arrived - worker.removed:.2f} s after it, by"
-                                 f" {', '.join(entries)}" if late else ""))
-        for run, exchange in late:
-            deployment.record.write("broken", f"DRAIN: {run.attempt} at {worker.name} {run.arrived - worker.removed:.3f} s"
-                                    f" after the acknowledgement, through {exchange.program.name}")
-        broken += len(late) > 0
-    served = sum(exchange.status == 200 for exchange in deployment.exchanges)
-    deployment.record.say(f"{served} of {len(deployment.exchanges)} requests served; DRAIN broken in {broken} of {ROUNDS}"
-                          " rounds")
-    return broken == 0
+    program = deployment.programs[0]
+    deployment.spawn(send_sound(deployment, program))
+    await asyncio.sleep(2)
+    calm = time.monotonic()
+    await asyncio.sleep(CALM_SECONDS)
+    crashes = time.monotonic()
+    if trouble:
+        deployment.spawn(send_crashing(deployment, program))
+    await asyncio.sleep(CRASHES_SECONDS)
+    if cuts:
+        await cut_off(deployment, group, program)
+    else:
+        await asyncio.sleep(CUT_SECONDS)
+    since = max([time.monotonic() + CONTACT] + [moment + 2 * CONTACT for moment in group.crashes[:5]])
+    await asyncio.sleep(since + AFTER_SECONDS - time.monotonic())
+    before, after = begun(deployment, calm, crashes - 1), begun(deployment, since, since + AFTER_SECONDS - 1)
+    deployment.record.say(f"{len(group.crashes)} crashes; sound requests begun at the first attempt: {before[1]} of"
+                          f" {before[0]} outside disruption, {after[1]} of {after[0]} from 2 x contactMs after the crashes"
+                          " and contactMs after the cut on")
+    statuses = {}
+    for exchange in deployment.exchanges:
+        if exchange.path == "/drafts/sound" and exchange.sent >= since:
+            statuses[exchange.status] = statuses.get(exchange.status, 0) + 1
+    deployment.record.say(f"answers to them: {statuses}")
+    return min(before[0], after[0]) < 20 or after[1] / after[0] >= 0.5 * before[1] / before[0]
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""The store returns from an older copy that has a worker which has left: entries take the worker back at once."""
+"""An entry starts while its link loses packets, and a worker leaves: the entry takes the worker back, for good."""
 
 import asyncio
 import pathlib
@@ -9,13 +9,12 @@
 
 import deployment as d  # noqa: E402
 
-ROUNDS = 5
-AWAY_SECONDS = 0.5  # "away for a moment"
-COPY_AGE_SECONDS = 2.0  # "a copy some seconds old"
-HEARTBEAT_SECONDS = 1.2
-REQUESTS_PER_SECOND = 30
+ROUNDS = 6
+RETRANSMISSION_SECONDS = 0.25  # after which TCP sends a lost packet of the store's answer once more
+LEAVES_AFTER_SECONDS = 0.06  # after the entry has joined the others
+SERVES_ON_SECONDS = 7.0  # after its entry is gone: "drainMs ... and a little longer (at times many seconds)"
+REQUESTS_PER_SECOND = {True: 40, False: 10}  # through the entry that is restarted, and through each of the others
 WORK_SECONDS = 0.1
-CONTACT = d.BOUNDS["contactMs"] / 1000
 
 
 async def make(folder):
@@ -29,56 +28,68 @@
         number += 1
         kind, method = ("safe", "GET") if number % 2 else ("unsafe", "POST")
         deployment.spawn(deployment.request(program, method, f"/{kind}/{number}", b"" if method == "GET" else b"sheet"))
-        await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+        await asyncio.sleep(1 / REQUESTS_PER_SECOND[program is deployment.programs[-1]])
 
 
-async def return_from_copy(store, rows, history, version):
-    """Takes the store away for a moment, and back with what it had in an older copy."""
-    for link in store.links.values():
-        link.cut()
-    store.rows, store.history, store.version = rows, history, version
-    store.era += 1
-    await asyncio.sleep(AWAY_SECONDS)
-    for link in store.links.values():
-        await link.heal()
+class Link:
+    """The link between one entry and the store, which loses one packet of the answer to its first read of `servers`."""
 
+    def __init__(self, deployment, program, loses):
+        self.deployment, self.program, self.loses = deployment, program, loses
+        self.joined = asyncio.Event()
 
-async def play_round(deployment, number, trouble):
-    store = deployment.store
+    def delay(self, caller, path, query, answer):
+        if caller != self.program.ip or path != "/rows-get":
+            return 0.0
+        if query["table"] == "servers" and self.loses:
+            self.loses = False
+            self.program.disturbed = time.monotonic() + RETRANSMISSION_SECONDS
+            self.deployment.record.write("link", f"a packet of the answer about workers to {self.program.name} is lost;"
+                                         f" sent again after {RETRANSMISSION_SECONDS} s")
+            return RETRANSMISSION_SECONDS
+        if query["table"] not in ("servers", "op"):
+            self.joined.set()
+        return 0.0
+
+
+async def play_round(deployment, program, number, trouble):
+    program.signal("TERM")
     worker = d.Worker(f"i-leaves-{number}", deployment, work_seconds=WORK_SECONDS)
     await worker.listen()
     await worker.register()
-    await asyncio.sleep(3)
-    kept = (dict(store.rows), list(store.history), store.version)
-    await asyncio.sleep(0.2)
+    await program.child.wait()
+    link = Link(deployment, program, trouble)
+    deployment.store.delay = link.delay
+    await program.start()
+    program.disturbed = time.monotonic()
+    await link.joined.wait()
+    await asyncio.sleep(LEAVES_AFTER_SECONDS)
     await worker.unregister()
-    await asyncio.sleep(COPY_AGE_SECONDS - 0.2)
-    if trouble:
-        await return_from_copy(store, *kept)
-        deployment.record.say(f"the store is back from a copy {COPY_AGE_SECONDS} s old, in era {store.era}")
-    back = time.monotonic()
-    await asyncio.sleep(0.3)
-    for other in deployment.workers:  # what the operator and the workers wrote is written again
-        await other.register()
-    if trouble:
-        deployment.version -= 1
-    await deployment.configure()
-    await asyncio.sleep(back + 3 * HEARTBEAT_SECONDS - time.monotonic())
-    if trouble:  # three heartbeat intervals of silence
-        await store.put("servers", worker.name, None)
-    await asyncio.sleep(1)
+    await program.await_ready()
+    await asyncio.sleep(SERVES_ON_SECONDS)
     worker.end()
-    return worker, back
+    ended = time.monotonic()
+    await asyncio.sleep(1)
+    return worker, [exchange for exchange in deployment.exchanges if lost_with(worker, ended, exchange, deployment)]
+
+
+def lost_with(worker, ended, exchange, deployment):
+    """Returns whether a request was at the worker when that ended, and its client got no success."""
+    runs = [run for run in deployment.runs if run.attempt == exchange.attempt]
+    return (any(run.worker is worker and run.executed and run.arrived <= ended for run in runs)
+            and exchange.status != 200 and exchange.ended is not None and exchange.ended >= ended)
 
 
-def late_requests(deployment, worker, back):
-    """Requests that break DRAIN: at the worker later than drainMs after its removal, and sent in touch."""
+def late_requests(deployment, worker):
+    """Requests that break DRAIN: taken by an entry in touch and at the worker later than drainMs after its removal."""
     sent = {exchange.attempt: exchange for exchange in deployment.exchanges}
+    contact = d.BOUNDS["contactMs"] / 1000
     late = []
     for run in deployment.runs:
         exchange = sent.get(run.attempt)
         if run.worker is worker and exchange is not None and run.executed:
-            if run.arrived > worker.removed + d.BOUNDS["drainMs"] / 1000 and exchange.sent > back + CONTACT:
+            in_touch = exchange.sent - exchange.program.disturbed > contact
+            if run.arrived > worker.removed + d.BOUNDS["drainMs"] / 1000 and in_touch:
                 late.append((run, exchange))
     return late
 
@@ -89,20 +100,19 @@
         worker = d.Worker(f"i-{i}", deployment, work_seconds=WORK_SECONDS)
         await worker.listen()
         await worker.register()
-        deployment.workers.append(worker)
     await deployment.start_entries()
     for program in deployment.programs:
         deployment.spawn(send_all(deployment, program))
     await asyncio.sleep(4)
     broken = 0
     for number in range(ROUNDS):
-        worker, back = await play_round(deployment, number, trouble)
-        late = late_requests(deployment, worker, back)
-        entries = sorted({exchange.program.name for _, exchange in late})
+        worker, lost = await play_round(deployment, deployment.programs[-1], number, trouble)
+        late = late_requests(deployment, worker)
         deployment.record.say(f"round {number}: {len(late)} requests reached {worker.name} over {d.BOUNDS['drainMs']} ms"
-                              f" after the store had dropped its entry, sent over contactMs after the store was back"
+                              f" after the store had dropped its entry, sent by entries in touch"
+                              + (f", {len(lost)} were lost with it" if lost else "")
                               + (f"; the last {late[-1][0].arrived - worker.removed:.2f} s after it, by"
-                                 f" {', '.join(entries)}" if late else ""))
+                                 f" {late[-1][1].program.name}" if late else ""))
         for run, exchange in late:
             deployment.record.write("broken", f"DRAIN: {run.attempt} at {worker.name} {run.arrived - worker.removed:.3f} s"
                                     f" after the acknowledgement, through {exchange.program.name}")
