Review: checks no stricter than their rules, and limits as the site states them

A second look at the cases. Case 6 keeps to the site's own dose (0.35 of the orders for 5.5 s). Case 7 counts from the last crash also if that comes late, and asks the other entries. Case 8 judges by the time at which a client sent.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -110,7 +110,7 @@
     served = sum(exchange.status == 200 for exchange in deployment.exchanges)
     deployment.record.say(f"{served} of {len(deployment.exchanges)} requests served; DRAIN broken in {broken} of {ROUNDS}"
                           " rounds")
-    return broken == 0
+    return deployment.judge(broken)
 
 
 if __name__ == "__main__":
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,10 +20,11 @@
 LEAD_STEPS = 2  # from the last pass of an idle group to the step of a hold
 LATE_SECONDS = (2.0, 12.0)  # "carried out 2 to 12 s later"
 AFTER_NEWER_SECONDS = 0.35
-DISRUPTION_SECONDS = 6.0  # the longest applied_late on the days of the site; played at most twice in a row
-LATE_SHARE = 0.5  # of the orders
+FIRST_FEW = 3
+DISRUPTION_SECONDS = 5.5  # and
+LATE_SHARE = 0.35  # of the orders, as the largest applied_late of the site; twice in a cycle
 UNANSWERED_GOS = 3  # to end the hold at one step
-CYCLES = 4
+CYCLES = 3
 
 
 class Rank:
@@ -122,6 +123,7 @@
         self.broken = False
         self.late_until = 0.0
         self.orders, self.unanswered, self.gos = 0, 0, {}
+        self.orders_before, self.unanswered_before = 0, 0
         self.late_gos = {}  # step -> times at which orders to end a hold there were taken and not answered
         self.on_hold = lambda step: None
         self.tries = []
@@ -148,8 +150,22 @@
             self.broken = True
             self.record.say(f"MAP: pass {following} begins with maps {versions}")
 
+    def begin_disruption(self):
+        self.report_share()
+        self.late_until = time.monotonic() + DISRUPTION_SECONDS
+        self.orders_before, self.unanswered_before = self.orders, self.unanswered
+
+    def report_share(self):
+        self.record.write("case", f"{self.unanswered - self.unanswered_before} of {self.orders - self.orders_before} orders"
+                          " were not answered since the latest disruption began")
+
     def is_late(self):
-        return time.monotonic() < self.late_until and self.unanswered + 1 <= LATE_SHARE * self.orders
+        """Returns whether an order may be left unanswered, by the length of the disruption and the share in it so far.
+
+        The first few are let pass, as the share is that of the whole time.
+        """
+        late = self.unanswered - self.unanswered_before + 1
+        return time.monotonic() < self.late_until and late <= FIRST_FEW + LATE_SHARE * (self.orders - self.orders_before)
 
     def take(self, rank, order):
         """Carries out an order and returns the status of its answer, or leaves it unanswered and returns None."""
@@ -281,7 +297,7 @@
     group.hot = (group.hot + 1) % RANKS
     group.tries, group.gos, group.late_gos = [], {}, {}
     if trouble:
-        group.late_until = time.monotonic() + DISRUPTION_SECONDS
+        group.begin_disruption()
     for _ in range(2):
         await request(deployment, SHORT_EVENTS)
     idle = group.step
@@ -298,7 +314,7 @@
         # The next controller prepares a version of its own at each rank before it does anything else.
         await until(lambda: all(rank.highest > old for rank, old in zip(group.ranks, before)), 8)
         await asyncio.sleep(0.6)
-        group.late_until = time.monotonic() + DISRUPTION_SECONDS
+        group.begin_disruption()
     events = events_to_meet(group)
     group.tries, group.gos = [], {}
     group.hot = (group.hot + 1) % RANKS
@@ -348,7 +364,8 @@
         if group.broken:
             break
     deployment.record.say(f"{group.orders} orders, {group.unanswered} of them without an answer")
-    return not group.broken
+    group.report_share()
+    return deployment.judge(group.broken, 0.9)
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -187,18 +187,21 @@
         await cut_off(deployment, group, program)
     else:
         await asyncio.sleep(CUT_SECONDS)
-    since = max([time.monotonic() + CONTACT] + [moment + 2 * CONTACT for moment in group.crashes[:5]])
-    await asyncio.sleep(since + AFTER_SECONDS - time.monotonic())
-    before, after = begun(deployment, calm, crashes - 1), begun(deployment, since, since + AFTER_SECONDS - 1)
+    cut_ended = time.monotonic()
+    await asyncio.sleep(CONTACT + AFTER_SECONDS)
+    until = time.monotonic() - 1  # what was sent later may not have begun yet
+    since = max([cut_ended + CONTACT] + [moment + 2 * CONTACT for moment in group.crashes[:5]])
+    before, after = begun(deployment, calm, crashes - 1), begun(deployment, since, until)
     deployment.record.say(f"{len(group.crashes)} crashes; sound requests begun at the first attempt: {before[1]} of"
                           f" {before[0]} outside disruption, {after[1]} of {after[0]} from 2 x contactMs after the crashes"
                           " and contactMs after the cut on")
-    statuses = {}
-    for exchange in deployment.exchanges:
-        if exchange.path == "/drafts/sound" and exchange.sent >= since:
-            statuses[exchange.status] = statuses.get(exchange.status, 0) + 1
-    deployment.record.say(f"answers to them: {statuses}")
-    return min(before[0], after[0]) < 20 or after[1] / after[0] >= 0.5 * before[1] / before[0]
+    others = []
+    for other in deployment.programs[1:]:
+        others += [(await send(deployment, other, f"{random.getrandbits(32):08x}:600")).status for _ in range(3)]
+    deployment.record.say(f"answers to three sound requests at each of the other entries, after all: {others}")
+    if deployment.judge(False, 0) is None or min(before[0], after[0]) < 20:
+        return None
+    return after[1] / after[0] >= 0.5 * before[1] / before[0]
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -80,7 +80,7 @@
     for run in deployment.runs:
         exchange = sent.get(run.attempt)
         if run.worker is worker and exchange is not None and run.executed:
-            in_touch = run.arrived - exchange.program.disturbed > contact
+            in_touch = exchange.sent - exchange.program.disturbed > contact
             if run.arrived > worker.removed + d.BOUNDS["drainMs"] / 1000 and in_touch:
                 late.append((run, exchange))
     return late
@@ -112,7 +112,7 @@
     served = sum(exchange.status == 200 for exchange in deployment.exchanges)
     deployment.record.say(f"{served} of {len(deployment.exchanges)} requests served; DRAIN broken in {broken} of {ROUNDS}"
                           " rounds")
-    return broken == 0
+    return deployment.judge(broken)
 
 
 if __name__ == "__main__":
--- a/review/harness-2/store.py
+++ b/review/harness-2/store.py
@@ -54,6 +54,7 @@
         self.oldest = 0
         self.calls = 0
         self.links = {}
+        self.called = {}  # caller -> times of its calls
         self.delay = lambda caller, path, query, answer: 0.0  # how much later an answer reaches its caller
 
     async def listen(self, ip, caller):
@@ -92,6 +93,7 @@
             if head is None:
                 return
             body = await http1.read_body(reader, head)
+            self.called.setdefault(caller, []).append(time.monotonic())
             url = urllib.parse.urlsplit(head.first_line.split(" ")[1])
             query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
             status, answer = await self.answer(caller, url.path, query, body)
