--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,7 +12,6 @@
 ROUNDS = 6
 RETRANSMISSION_SECONDS = 0.25  # after which TCP sends a lost packet of the store's answer once more
 LEAVES_AFTER_SECONDS = 0.06  # after the entry has joined the others
-LOSSY_SECONDS = 5.5  # for so long links lose packets on the site's own days
 SERVES_ON_SECONDS = 7.0  # after its entry is gone: "drainMs ... and a little longer (at times many seconds)"
 REQUESTS_PER_SECOND = {True: 40, False: 10}  # through the entry that is restarted, and through each of the others
 WORK_SECONDS = 0.1
@@ -68,10 +67,6 @@
     await worker.unregister()
     await program.await_ready()
     await asyncio.sleep(SERVES_ON_SECONDS)
-    started = program.disturbed - (RETRANSMISSION_SECONDS if trouble else 0)
-    calls = sum(0 <= moment - started < LOSSY_SECONDS for moment in deployment.store.called[program.ip])
-    deployment.record.write("link", f"{calls} calls of {program.name} to the store in {LOSSY_SECONDS} s, with {2 * calls}"
-                            " packets or more; one was lost" if trouble else f"{calls} calls")
     worker.end()
     ended = time.monotonic()
     await asyncio.sleep(1)
