Refuse responses of targets whose status line is not that of a response

What callers saw: a target in trouble sent a whole, signed response with status 000, and the caller got it as an answer with that status, on each route. So it was with 001 to 099, with 600 to 999, and with lines such as 'HTTP/1.1 0200 X', '+200', '2000' (passed on as 2000), '2 0', a tab beside the status, a blank, line break or NUL before 'HTTP/', or a NUL in the reason. A refusal ('HTTP/1.1 0503 X' with Firwheel-Not-Executed) was believed too: a request that may not be repeated was sent a second time, and its caller was told that it had not run.

Cause: Netty's decoder of responses splits the status line at any blanks, skips what stands before it, reads the status with Integer.parseInt, and knows no range. TargetConnection checks the head that the decoder returns, where most of it is repaired already, and did not check the status.

ResponseHeadSyntax checks the bytes of the line as they were received against the grammar of RFC 9112, section 4, and the range of RFC 9110, section 15. The space behind a status without a reason may be missing, as before.

Messages with a quoted line no longer hold bytes that are not printed.

--- a/model/src/main/java/firwheel/model/ResponseHeadCheck.java
+++ b/model/src/main/java/firwheel/model/ResponseHeadCheck.java
@@ -60,7 +60,16 @@
         return null;
     }
 
-    private static String quote(String text) {
-        return "\"" + (text.length() <= MAX_QUOTED_CHARS ? text : text.substring(0, MAX_QUOTED_CHARS) + "...") + "\"";
+    /** Returns a text for a message: in quotes, of limited length, and without characters that are not printed. */
+    static String quote(String text) {
+        StringBuilder quoted = new StringBuilder("\"");
+        text.chars()
+                .limit(MAX_QUOTED_CHARS)
+                .forEach(c -> quoted.append(isPrinted(c) ? Character.toString(c) : String.format("\\x%02x", c)));
+        return quoted.append(text.length() > MAX_QUOTED_CHARS ? "...\"" : "\"").toString();
+    }
+
+    private static boolean isPrinted(int c) {
+        return c >= ' ' && c <= '~';
     }
 }
--- a/proxy/src/main/java/firwheel/proxy/server/TargetResponseDecoder.java
+++ b/proxy/src/main/java/firwheel/proxy/server/TargetResponseDecoder.java
@@ -1,5 +1,6 @@
 package firwheel.proxy.server;
 
+import firwheel.model.ResponseHeadSyntax;
 import firwheel.proxy.attempt.ChunkFramingCheck;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -30,6 +31,7 @@
     // Many chunks of a byte or two would take most of the time of a process.
     private static final int MAX_FRAMING_BYTES = 16 * 1024;
 
+    private @Nullable ResponseHeadSyntax headSyntax; // of the head that is being read
     private @Nullable ChunkFramingCheck chunkCheck;
     private long chunkBytes;
     private long contentBytes;
@@ -54,6 +56,7 @@
      */
     void expectResponse(boolean toHeadRequest) {
         expecting = true;
+        headSyntax = new ResponseHeadSyntax();
         withoutContent = toHeadRequest;
     }
 
@@ -65,11 +68,15 @@
             return;
         }
         int start = in.readerIndex();
+        ResponseHeadSyntax syntax = headSyntax;
         ChunkFramingCheck check = chunkCheck;
         super.decode(context, in, out);
+        if (syntax != null) {
+            syntax.accept(readSince(start, in));
+            refuse(syntax.violation(), out);
+        }
         if (check != null) {
-            byte[] read = new byte[in.readerIndex() - start];
-            in.getBytes(start, read);
+            byte[] read = readSince(start, in);
             refuse(check.accept(read), out);
             chunkBytes += read.length;
         }
@@ -80,6 +87,12 @@
         }
     }
 
+    private static byte[] readSince(int start, ByteBuf in) {
+        byte[] read = new byte[in.readerIndex() - start];
+        in.getBytes(start, read);
+        return read;
+    }
+
     /** Returns whether bytes have arrived while no response was expected, delivered or not. */
     boolean surplusReceived() {
         return surplusReceived;
@@ -143,6 +156,7 @@
             chunkCheck = framing == TargetMessage.Framing.CHUNKS ? new ChunkFramingCheck() : null;
             chunkBytes = 0;
             contentBytes = 0;
+            headSyntax = interim ? new ResponseHeadSyntax() : null;
             out.add(new TargetMessage.Head(response));
         }
         if (part instanceof HttpContent content && content.content().isReadable()) {
