Refuse responses of targets in whose head the name of a field is no token

What callers saw: a target in trouble sent a signed response with a blank or tab in the name of a field or before its colon ('X A: ab'). The caller got it as an answer, with the line cut to 'X: ab', or the line 'X A' without a colon as a name without a value. With 'Content-Length A: 2' and a body until the end of the connection the caller got 200 with the first two bytes of the body as the whole one; 'Firwheel-Response-Seal A: s' counted as the signature; and 503 with 'X A: ab' and Firwheel-Not-Executed as proof that the request had not run, so that one that may not be repeated was sent twice.

Cause: for responses, Netty's decoder ends a name at the first blank or tab and skips what stands before the colon.

FieldLineSyntax checks the bytes of the lines behind the status line, as received: each is a token and a colon, or continues the value before it (RFC 9110, section 5.1; RFC 9112, section 5). A folded value stays what it was, which RFC 9112, section 5.2, allows a gateway; what values hold is not checked.

--- a/model/src/main/java/firwheel/model/ResponseHeadSyntax.java
+++ b/model/src/main/java/firwheel/model/ResponseHeadSyntax.java
@@ -13,13 +13,20 @@
             Pattern.compile("HTTP/[0-9]\\.[0-9] [1-5][0-9]{2}( [\\t\\x20-\\x7E\\x80-\\xFF]*)?\r?");
 
     private final StringBuilder statusLine = new StringBuilder();
+    private final FieldLineSyntax fieldLines = new FieldLineSyntax();
     private boolean statusLineEnded;
     private @Nullable String violation;
 
     /** Checks the next bytes of the head; those behind its end, or behind a violation, have no effect. */
     public void accept(byte[] bytes) {
-        for (int i = 0; i < bytes.length && !statusLineEnded && violation == null; i++) {
-            acceptStatusLine((char) (bytes[i] & 0xFF));
+        for (int i = 0; i < bytes.length && !fieldLines.ended() && violation == null; i++) {
+            char c = (char) (bytes[i] & 0xFF);
+            if (statusLineEnded) {
+                fieldLines.accept(c);
+                violation = fieldLines.violation();
+            } else {
+                acceptStatusLine(c);
+            }
         }
     }
 
--- a/model/src/test/java/firwheel/model/ResponseHeadSyntaxTest.java
+++ b/model/src/test/java/firwheel/model/ResponseHeadSyntaxTest.java
@@ -50,4 +50,22 @@
                     .startsWith("no status line");
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX\t: b\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n X: b\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX: b\r\nY\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX: b\r\n: c\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX: b\r\nY\u0000: c\r\n\r\n"
+            })
+    void namesThatAreNoTokensAreViolations(String bytes) {
+        for (int partBytes = 1; partBytes <= bytes.length(); partBytes++) {
+            assertThat(read(bytes, partBytes).violation())
+                    .as("parts of %s bytes", partBytes)
+                    .startsWith("name of a field");
+        }
+    }
 }
