Take no chunked response for complete behind a trailer whose name is no token

What callers saw: behind the last chunk, a line 'X A: ab', 'X : ab' or 'X A' counted as a trailer 'X', so that a response that goes wrong there was a complete one, on streams too.

Cause: the decoder reads trailers as leniently as the fields of a head. ChunkFramingCheck, which reads the framing of chunks as received, ended at the last chunk. It now reads the trailers to their end with FieldLineSyntax. Requests of callers pass through the same check; for these the decoder refuses such names already, and a line without a colon is now refused as well.

Before, on: MalformedHeadTest.Trailers fails in 3 of 3 (6 of 164 trailers on each of the routes safe, unsafe and once), and ChunkFramingCheckTest in its 4 new cases. All pass now, with TargetBytesFuzzTest, JoinedResponseTest, JoinedRequestTest, CutResponseHeadTest and EndlessBytesTest.

--- a/proxy/src/main/java/firwheel/proxy/attempt/ChunkFramingCheck.java
+++ b/proxy/src/main/java/firwheel/proxy/attempt/ChunkFramingCheck.java
@@ -1,12 +1,14 @@
 package firwheel.proxy.attempt;
 
+import firwheel.model.FieldLineSyntax;
 import firwheel.model.StatusLine;
 import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Checks the framing of a chunked body, as defined by RFC 9112, up to its last chunk. A lenient decoder ignores the rest
- * of a line with a chunk size, where another response may begin if the target broke off there.
+ * Checks the framing of a chunked body, as defined by RFC 9112, with the fields behind its last chunk. A lenient decoder
+ * ignores the rest of a line with a chunk size, where another response may begin if the target broke off there, and part
+ * of the name of a field.
  */
 public final class ChunkFramingCheck {
     private static final Pattern SIZE_LINE = Pattern.compile("[0-9A-Fa-f]{1,8}[ \t]*(;[^\r]*)?\r");
@@ -16,14 +18,20 @@
 
     private final StringBuilder sizeLine = new StringBuilder();
     private long remainingBytes; // of the content of a chunk and the line break behind it
-    private boolean ended;
+    private @Nullable FieldLineSyntax trailers; // null up to the last chunk
     private @Nullable String violation;
 
     /** Checks the next bytes of the body and returns why they are no chunks, or null if they may be. */
     public @Nullable String accept(byte[] bytes) {
         int i = 0;
-        while (i < bytes.length && !ended && violation == null) {
-            if (remainingBytes > LINE_BREAK_BYTES) {
+        while (i < bytes.length && violation == null) {
+            FieldLineSyntax fields = trailers;
+            if (fields != null && fields.ended()) {
+                return null;
+            } else if (fields != null) {
+                fields.accept((char) (bytes[i++] & 0xFF));
+                violation = fields.violation();
+            } else if (remainingBytes > LINE_BREAK_BYTES) {
                 long skipped = Math.min(bytes.length - i, remainingBytes - LINE_BREAK_BYTES);
                 remainingBytes -= skipped;
                 i += (int) skipped;
@@ -56,7 +64,10 @@
             return;
         }
         long sizeBytes = Long.parseLong(line.split("[ \t;\r]", 2)[0], HEX);
-        ended = sizeBytes == 0;
-        remainingBytes = sizeBytes + LINE_BREAK_BYTES;
+        if (sizeBytes == 0) {
+            trailers = new FieldLineSyntax();
+        } else {
+            remainingBytes = sizeBytes + LINE_BREAK_BYTES;
+        }
     }
 }
--- a/proxy/src/test/java/firwheel/proxy/attempt/ChunkFramingCheckTest.java
+++ b/proxy/src/test/java/firwheel/proxy/attempt/ChunkFramingCheckTest.java
@@ -28,6 +28,22 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "0\r\nX A: y\r\n\r\n",
+                "0\r\nX : y\r\n\r\n",
+                "0\r\nX: y\r\nZ\r\n\r\n",
+                "1\r\n.\r\n0\r\n X: y\r\n\r\n"
+            })
+    void fieldsBehindTheLastChunkWithNamesThatAreNoTokensAreRefused(String body) {
+        for (int partBytes = 1; partBytes < body.length(); partBytes++) {
+            assertThat(check(body, partBytes))
+                    .as("parts of %s bytes", partBytes)
+                    .isNotNull();
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
