Agent: fail an attempt whose response has a malformed head

What callers of the product's own interface saw: a target's response with status 000, 099, 600 or 'HTTP/1.1 0200 X' was forwarded to the entry and so to the caller; with 'Content-Length A: 2' as 200 with two bytes of another body; an interim response that Vert.x does not know, such as 102, as the final one.

Cause: AttemptExecution checks the head that Vert.x's client returns, whose decoder is as lenient as that of the platform's path, and takes each status under 500 for one to forward.

The new module http has the clients that such readers use: StrictHttpClient puts ResponseHeadGuard before the decoder of each connection. It runs ResponseHeadSyntax over the bytes of the head of each response, from the write of its request on, and closes the connection with a DecoderException, which fails the call, before the decoder sees them. Interim responses are dropped, up to 16 of them; 101 is refused, as no request asks for an upgrade.

Before: AttemptExecutionTest.malformedHeadsAreNoSuccess fails in 7 of 7, interimResponsesAreNotPassedOn with 102 in place of 200; all pass now. StrictHttpClientTest is of the new module and has no counterpart before. Status lines in messages no longer end with the carriage return.

--- a/agent/src/main/java/firwheel/agent/AgentServer.java
+++ b/agent/src/main/java/firwheel/agent/AgentServer.java
@@ -22,9 +22,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.PoolOptions;
 import io.vertx.core.net.NetServer;
 import java.util.HashSet;
 import java.util.Random;
@@ -93,9 +91,7 @@
                 this::beforeChunk);
         loadReporter = new LoadReporter(
                 settings.row(), settings.rank(), time, attemptHandler::currentLoad, attemptHandler::isAwaitingOutput);
-        targetClient = vertx.createHttpClient(
-                new HttpClientOptions().setConnectTimeout(1_000),
-                new PoolOptions().setHttp1MaxSize(MAX_TARGET_CONNECTIONS));
+        targetClient = AttemptExecution.newClient(vertx, MAX_TARGET_CONNECTIONS);
     }
 
     /** Starts an agent with the given table; the future completes once the agent is listening. */
--- a/agent/src/main/java/firwheel/agent/AttemptExecution.java
+++ b/agent/src/main/java/firwheel/agent/AttemptExecution.java
@@ -1,17 +1,22 @@
 package firwheel.agent;
 
 import firwheel.admission.ResponseHead;
+import firwheel.http.StrictHttpClient;
 import firwheel.model.EventCode;
+import firwheel.model.Events;
 import firwheel.model.FaultBoundary;
 import firwheel.model.ResponseHeadCheck;
 import firwheel.model.ResultCode;
 import firwheel.wire.AttemptMessage;
+import io.netty.handler.codec.DecoderException;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.parsetools.RecordParser;
 import io.vertx.core.streams.ReadStream;
@@ -34,6 +39,7 @@
     private static final byte[] TERMINATING_EVENT = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
     private static final String EVENT_DELIMITER = "\n\n";
     private static final ResponseHeadCheck HEAD_CHECK = new ResponseHeadCheck(Set.of());
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int INTERNAL_SERVER_ERROR = 500;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -67,6 +73,14 @@
         this.onCompleted = onCompleted;
     }
 
+    /** Creates a client of a target. */
+    static HttpClient newClient(Vertx vertx, int maxConnections) {
+        return StrictHttpClient.create(
+                vertx,
+                new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
+                new PoolOptions().setHttp1MaxSize(maxConnections));
+    }
+
     /** Sends the request to the target; the attempt fails if it has not ended within {@code remainingMillis}. */
     void start(HttpClient client, String targetIp, int targetPort, long remainingMillis) {
         boundary.run("start", () -> connect(client, targetIp, targetPort, remainingMillis));
@@ -143,11 +157,20 @@
         sent = true;
         request.send(Buffer.buffer(dispatch.body()))
                 .onSuccess(response -> boundary.run("head", () -> onResponse(response)))
-                .onFailure(error -> boundary.run(
-                        "send failed",
-                        () -> fail(
-                                ResultCode.OUTCOME_UNKNOWN,
-                                "connection to the target lost before it responded: " + error.getMessage())));
+                .onFailure(error -> boundary.run("send failed", () -> onNoResponse(error)));
+    }
+
+    private void onNoResponse(Throwable error) {
+        if (error instanceof DecoderException && !completed) {
+            Events.log(
+                    logger,
+                    EventCode.MALFORMED_RESPONSE,
+                    "attempt",
+                    dispatch.attempt(),
+                    "violation",
+                    String.valueOf(error.getMessage()));
+        }
+        fail(ResultCode.OUTCOME_UNKNOWN, "connection to the target lost before it responded: " + error.getMessage());
     }
 
     private void onResponse(HttpClientResponse response) {
--- a/model/src/main/java/firwheel/model/ResponseHeadSyntax.java
+++ b/model/src/main/java/firwheel/model/ResponseHeadSyntax.java
@@ -10,7 +10,11 @@
  */
 public final class ResponseHeadSyntax {
     private static final Pattern STATUS_LINE =
-            Pattern.compile("HTTP/[0-9]\\.[0-9] [1-5][0-9]{2}( [\\t\\x20-\\x7E\\x80-\\xFF]*)?\r?");
+            Pattern.compile("HTTP/[0-9]\\.[0-9] [1-5][0-9]{2}( [\\t\\x20-\\x7E\\x80-\\xFF]*)?");
+
+    private static final int STATUS_INDEX = "HTTP/1.1 ".length();
+    private static final int STATUS_DIGITS = 3;
+    private static final int RADIX = 10;
 
     private final StringBuilder statusLine = new StringBuilder();
     private final FieldLineSyntax fieldLines = new FieldLineSyntax();
@@ -19,8 +23,14 @@
 
     /** Checks the next bytes of the head; those behind its end, or behind a violation, have no effect. */
     public void accept(byte[] bytes) {
-        for (int i = 0; i < bytes.length && !fieldLines.ended() && violation == null; i++) {
-            char c = (char) (bytes[i] & 0xFF);
+        var unused = accept(bytes, 0);
+    }
+
+    /** Checks bytes from {@code from} on, and returns the index behind the last one that belongs to the head. */
+    public int accept(byte[] bytes, int from) {
+        int next = from;
+        while (next < bytes.length && !ended() && violation == null) {
+            char c = (char) (bytes[next++] & 0xFF);
             if (statusLineEnded) {
                 fieldLines.accept(c);
                 violation = fieldLines.violation();
@@ -28,6 +38,19 @@
                 acceptStatusLine(c);
             }
         }
+        return next;
+    }
+
+    /** Returns whether the empty line behind the head has been read. */
+    public boolean ended() {
+        return fieldLines.ended();
+    }
+
+    /** Returns the status, or 0 if the status line has not been read or is a violation. */
+    public int status() {
+        return statusLineEnded && violation == null
+                ? Integer.parseInt(statusLine, STATUS_INDEX, STATUS_INDEX + STATUS_DIGITS, RADIX)
+                : 0;
     }
 
     /** Returns why the bytes so far are not the head of a response, or null if they may be. */
@@ -41,6 +64,10 @@
             return;
         }
         statusLineEnded = true;
+        int end = statusLine.length() - 1;
+        if (end >= 0 && statusLine.charAt(end) == '\r') {
+            statusLine.setLength(end);
+        }
         if (!STATUS_LINE.matcher(statusLine).matches()) {
             violation =
                     "no status line with a status from 100 to 599: " + ResponseHeadCheck.quote(statusLine.toString());
