Entry: do not believe a status of an agent that no response has

What callers saw: an agent (of an older build, say, whose target answers with status 000) sends a head with status 0, 99, 600 or 999, and the caller gets a response with it. With 100 or 199 the caller gets an interim response and then waits.

Cause: the entry takes the status of AttemptMessage.Head as it is.

Before: OddAgentMessagesTest.headWithAStatusThatIsNotFinalEndsTheRequest fails in 6 of 7 (0, 99, 600 and 999 passed on, 100 and 199 without a response for 2 s; -1 ended in the fault boundary already). All pass now.

--- a/entry/src/main/java/firwheel/entry/AttemptExchange.java
+++ b/entry/src/main/java/firwheel/entry/AttemptExchange.java
@@ -7,6 +7,8 @@
 import firwheel.admission.StreamEnd;
 import firwheel.admission.StreamIntegrity;
 import firwheel.model.AttemptId;
+import firwheel.model.EventCode;
+import firwheel.model.Events;
 import firwheel.model.FaultBoundary;
 import firwheel.model.RankAddress;
 import firwheel.model.RankKey;
@@ -14,12 +16,15 @@
 import firwheel.wire.AttemptMessage;
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Exchange of messages between the entry and the agent about one attempt. It can move to a new link when a link is lost.
  * Used on the entry's event loop only.
  */
 final class AttemptExchange implements AgentLink.Listener {
+    private static final Logger logger = LoggerFactory.getLogger(AttemptExchange.class);
     private static final int CREDIT_CHUNKS = 64;
     private static final long ADMIT_WINDOW_MILLIS = 5_000;
     private static final long DEADLINE_MARGIN_MILLIS = 100;
@@ -183,7 +188,7 @@
 
     private void handle(AttemptMessage message) {
         if (message instanceof AttemptMessage.Head head) {
-            listener.onHead(new ResponseHead(head.status(), head.contentType()));
+            onHead(head);
         } else if (message instanceof AttemptMessage.Chunk chunk) {
             onChunk(new StreamChunk(chunk.sequence(), chunk.data()));
         } else if (message instanceof AttemptMessage.End end) {
@@ -199,6 +204,25 @@
         }
     }
 
+    /** An agent of an earlier build may pass on a status that is not one of a response. */
+    private void onHead(AttemptMessage.Head head) {
+        if (ResponseHead.isFinal(head.status())) {
+            listener.onHead(new ResponseHead(head.status(), head.contentType()));
+            return;
+        }
+        Events.log(
+                logger,
+                EventCode.MALFORMED_RESPONSE,
+                "target",
+                key,
+                "attempt",
+                id,
+                "violation",
+                "status " + head.status() + " is not one of a final response");
+        send(new AttemptMessage.Cancel(id));
+        listener.onFailed(this, ResultCode.OUTCOME_UNKNOWN);
+    }
+
     @Override
     public void onLinkLost() {
         if (!closed) {
--- a/entry/src/test/java/firwheel/entry/OddAgentMessagesTest.java
+++ b/entry/src/test/java/firwheel/entry/OddAgentMessagesTest.java
@@ -24,6 +24,8 @@
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** An agent sends messages about an attempt that the entry cannot pass on. */
 final class OddAgentMessagesTest {
@@ -112,4 +114,13 @@
     void unknownFailureCodeEndsTheRequest() throws Exception {
         assertEndsAtOnce(500, id -> List.of(new AttemptMessage.Failed(id, 9_998, "code of a later version")));
     }
+
+    /** An agent passes on the final status of a target; an older build checks it less. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 0, 99, 100, 199, 600, 999})
+    void headWithAStatusThatIsNotFinalEndsTheRequest(int status) throws Exception {
+        assertEndsAtOnce(
+                502,
+                id -> List.of(new AttemptMessage.Head(id, status, "text/plain"), new AttemptMessage.End(id, 0, 0)));
+    }
 }
