Claims: do not replay a recorded response without a final status

What callers saw: the repeat of a request with an idempotency key gets the recorded response, with whatever status its row holds.

Cause: ClaimService believes the status of the row.

Before: ClaimServiceTest.Repeats.doNotGetARecordedResponseWithoutAFinalStatus fails, as the response with status 0 is returned; it passes now.

--- a/admission/src/main/java/firwheel/admission/ClaimService.java
+++ b/admission/src/main/java/firwheel/admission/ClaimService.java
@@ -147,7 +147,7 @@
     }
 
     private static ClaimOutcome completedClaimOutcome(@Nullable RecordedResponse response) {
-        return response == null
+        return response == null || !ResponseHead.isFinal(response.status())
                 ? new ClaimOutcome.Refused(ResultCode.ANSWER_NOT_KEPT, Duration.ZERO)
                 : new ClaimOutcome.Recorded(response);
     }
--- a/admission/src/test/java/firwheel/admission/ClaimServiceTest.java
+++ b/admission/src/test/java/firwheel/admission/ClaimServiceTest.java
@@ -68,6 +68,14 @@
             assertThat(recorded.response().body()).containsExactly(1, 2);
         }
 
+        /** An earlier build may have recorded it. */
+        @Test
+        void doNotGetARecordedResponseWithoutAFinalStatus() {
+            var unused = claims.complete(claimed("k"), new RecordedResponse(0, "text/plain", new byte[] {1, 2}));
+            store.releaseAll();
+            assertThat(code(repeat("k", "d"))).isEqualTo(ResultCode.ANSWER_NOT_KEPT);
+        }
+
         @Test
         void areRefusedIfTheBodyDiffers() {
             claimed("k");
