Store client: take no reply with a malformed head for a success

What was seen: HttpPlatformClient takes each status under 300 for a success, so that a write counted as done after a reply with status 000, 099 or 'HTTP/1.1 0200 X', after an interim reply 102 before a refusal, and after one whose length stands in a field 'Content-Length A'.

Statuses under 200 no longer reach requireSuccess.

Before: HttpPlatformClientTest.malformedAndInterimHeadsAreNoSuccess fails in 7 of 7; all pass now.

--- a/store/src/main/java/firwheel/store/HttpPlatformClient.java
+++ b/store/src/main/java/firwheel/store/HttpPlatformClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.http.StrictHttpClient;
 import firwheel.model.FirwheelException;
 import firwheel.model.ResponseHeadCheck;
 import firwheel.model.ResultCode;
@@ -47,7 +48,8 @@
     public HttpPlatformClient(Vertx vertx, URI address, Duration timeout) {
         this.address = address;
         this.timeout = timeout;
-        client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
+        client = StrictHttpClient.create(
+                vertx, new HttpClientOptions().setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
     }
 
     @Override
--- a/store/src/test/java/firwheel/store/HttpPlatformClientTest.java
+++ b/store/src/test/java/firwheel/store/HttpPlatformClientTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class HttpPlatformClientTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(8);
@@ -49,4 +51,19 @@
         assertThat(wrongCuts).isEmpty();
         assertThat(succeeds(FIRST)).isTrue();
     }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 0200 X\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200\t\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length A: 2\r\n\r\nanswer",
+                "HTTP/1.1 102 Processing\r\n\r\n" + SECOND
+            })
+    void malformedAndInterimHeadsAreNoSuccess(String reply) throws Exception {
+        assertThat(succeeds(reply)).isFalse();
+    }
 }
