Calls between processes: take no reply with a malformed head

What was seen: an authentic reply counted behind a line break, a blank or an interim response with a malformed head, and was lost behind an interim response that Vert.x does not know. Its content is safe by its code; the bytes before it show that they are not one reply, as elsewhere.

AuthenticatedHttp's client is a StrictHttpClient now.

Before: AuthenticatedHttpTest.authenticContentBehindAMalformedHeadIsNoReply fails in 4 of 4, repliesBehindInterimOnesArrive as well; all pass now.

--- a/mesh/src/main/java/firwheel/mesh/AuthenticatedHttp.java
+++ b/mesh/src/main/java/firwheel/mesh/AuthenticatedHttp.java
@@ -1,5 +1,6 @@
 package firwheel.mesh;
 
+import firwheel.http.StrictHttpClient;
 import firwheel.model.EventCode;
 import firwheel.model.Events;
 import firwheel.model.FirwheelException;
@@ -57,7 +58,8 @@
         this.vertx = vertx;
         this.key = key;
         this.port = port;
-        client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
+        client = StrictHttpClient.create(
+                vertx, new HttpClientOptions().setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
     }
 
     /** Sets the handler for calls to {@code path}. */
--- a/mesh/src/test/java/firwheel/mesh/AuthenticatedHttpTest.java
+++ b/mesh/src/test/java/firwheel/mesh/AuthenticatedHttpTest.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class AuthenticatedHttpTest {
     private static final String PROCESS_IP = "127.0.47.1";
@@ -87,4 +89,30 @@
 
         assertThat(failed).succeedsWithin(TIMEOUT).isEqualTo(true);
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", " ", "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n", "HTTP/1.1 003 X\r\n\r\n"})
+    void authenticContentBehindAMalformedHeadIsNoReply(String prefix) {
+        AuthenticatedHttp process = new AuthenticatedHttp(vertx, new SharedKey("secret"), PORT);
+        process.registerHandler(PATH, CompletableFuture::completedFuture);
+        process.listen(PROCESS_IP).join();
+        relay(prefix);
+
+        CompletableFuture<Boolean> failed =
+                process.call(RELAY_IP, PATH, new byte[1], TIMEOUT).handle((reply, error) -> error != null);
+
+        assertThat(failed).succeedsWithin(TIMEOUT).isEqualTo(true);
+    }
+
+    @Test
+    void repliesBehindInterimOnesArrive() {
+        AuthenticatedHttp process = new AuthenticatedHttp(vertx, new SharedKey("secret"), PORT);
+        process.registerHandler(PATH, CompletableFuture::completedFuture);
+        process.listen(PROCESS_IP).join();
+        relay("HTTP/1.1 102 Processing\r\n\r\n");
+
+        assertThat(process.call(RELAY_IP, PATH, new byte[] {7}, TIMEOUT))
+                .succeedsWithin(TIMEOUT)
+                .isEqualTo(new byte[] {7});
+    }
 }
