Load generator: take no response with a malformed head for a whole one

It judges responses by their outcome header and content, so that an entry that passed on a status 000 or a header 'X A: b' had its response counted as complete. With a StrictHttpClient such a response counts as aborted. By reading; no test of its own, as StrictHttpClientTest covers the client.

--- a/load/src/main/java/firwheel/load/LoadRun.java
+++ b/load/src/main/java/firwheel/load/LoadRun.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.http.StrictHttpClient;
 import firwheel.model.TimeSource;
 import firwheel.standin.StandInService.LedgerEntry;
 import firwheel.store.EventLoops;
@@ -51,7 +52,8 @@
         this.time = time;
         this.progress = progress;
         random = new SplittableRandom(options.seed());
-        client = vertx.createHttpClient(
+        client = StrictHttpClient.create(
+                vertx,
                 new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
                 new PoolOptions().setHttp1MaxSize(options.maxInFlight()));
         startNanos = time.monotonicNanos();
