Command line: show the revision of a host only by a whole report

What operators saw: status and table apply take the body of any reply of /status for a report, whatever its status: 000, 404, 500, or with a malformed head. 'in force on N hosts' could rest on an error.

HostStatusClient asks for 200 now, on a StrictHttpClient; any other reply counts as none.

Before: HostStatusClientTest.onlyWholeReportsShowARevision fails in 5 of 6, all but the sound one; all pass now.

--- a/cli/src/main/java/firwheel/cli/HostStatusClient.java
+++ b/cli/src/main/java/firwheel/cli/HostStatusClient.java
@@ -2,9 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import firwheel.http.StrictHttpClient;
 import firwheel.store.HostList.HostEntry;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
@@ -19,6 +23,7 @@
 final class HostStatusClient {
     static final int DEFAULT_ADMIN_PORT = 9090;
 
+    private static final int OK = 200;
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(200);
 
@@ -54,7 +59,7 @@
                         .toList()
                 : Arrays.asList(hosts.split(","));
         HttpClientOptions options = new HttpClientOptions().setConnectTimeout((int) REQUEST_TIMEOUT.toMillis());
-        return new HostStatusClient(addresses, platform.vertx().createHttpClient(options));
+        return new HostStatusClient(addresses, StrictHttpClient.create(platform.vertx(), options));
     }
 
     private static String ip(HostEntry entry) {
@@ -105,7 +110,7 @@
                 .setPort(Integer.parseInt(parts.get(parts.size() - 1)))
                 .setURI("/status");
         return client.request(request)
-                .compose(sent -> sent.send().compose(response -> response.body()))
+                .compose(sent -> sent.send().compose(HostStatusClient::readBody))
                 .toCompletionStage()
                 .toCompletableFuture()
                 .orTimeout(REQUEST_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
@@ -113,6 +118,12 @@
                 .exceptionally(error -> new HostStatus(address, "?", "?", -1));
     }
 
+    private static Future<Buffer> readBody(HttpClientResponse response) {
+        return response.statusCode() == OK
+                ? response.body()
+                : Future.failedFuture("reply to /status has status " + response.statusCode());
+    }
+
     private HostStatus parse(String address, byte[] body) {
         try {
             JsonNode json = mapper.readTree(body);
