Tests: keep the clients whose success is expected referenced

With a thread that collects garbage 2 of 200 and, traced, 1 of 150: the connection of the test's relay was closed after it was made, before the call passed over it.

Cause: Vert.x closes a client that is no longer referenced, and the relay kept none. The relay is older; its other tests expect a failure, which the lost call looks like. The relay's client is a field now, as are the clients of AttemptExecutionTest and HostStatusClientTest: 0 of 400 repetitions beside the collecting thread fail, none has a connection that closes early.

Assertions are unchanged but in form: HostStatusClientTest compares both fields of one query in place of one of each of two.

--- a/agent/src/test/java/firwheel/agent/AttemptExecutionTest.java
+++ b/agent/src/test/java/firwheel/agent/AttemptExecutionTest.java
@@ -8,6 +8,7 @@
 import firwheel.model.ResultCode;
 import firwheel.wire.AttemptMessage;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -27,6 +28,7 @@
     private static final int FAILED = -1;
 
     private final Vertx vertx = Vertx.vertx();
+    private final HttpClient client = AttemptExecution.newClient(vertx, 1);
 
     @AfterEach
     void close() {
@@ -78,7 +80,7 @@
                 completed.complete(failure != null || head == null ? FAILED : head.status());
             };
             new AttemptExecution(vertx, dispatch, false, stream, onCompleted)
-                    .start(AttemptExecution.newClient(vertx, 1), "127.0.0.1", port, TIMEOUT_MILLIS);
+                    .start(client, "127.0.0.1", port, TIMEOUT_MILLIS);
         });
         return completed.get(withinMillis, TimeUnit.MILLISECONDS);
     }
--- a/cli/src/test/java/firwheel/cli/HostStatusClientTest.java
+++ b/cli/src/test/java/firwheel/cli/HostStatusClientTest.java
@@ -1,8 +1,11 @@
 package firwheel.cli;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 import firwheel.cli.HostStatusClient.HostStatus;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -10,6 +13,7 @@
 final class HostStatusClientTest {
     private static final String BODY = "{\"role\":\"entry\",\"availabilityZone\":\"zone-a\",\"revision\":7}";
 
+    private final List<HostStatusClient> clients = new ArrayList<>(); // Vert.x closes one that is no longer referenced
     private final PlatformConnection platform = new PlatformConnection("http://127.0.0.1:1");
 
     @AfterEach
@@ -17,7 +21,7 @@
         platform.close();
     }
 
-    private HostStatus query(String head) {
+    private List<HostStatus> query(String head) {
         int port = platform.vertx()
                 .createNetServer()
                 .connectHandler(socket -> socket.handler(
@@ -27,7 +31,9 @@
                 .toCompletableFuture()
                 .join()
                 .actualPort();
-        return HostStatusClient.of(platform, "127.0.0.1:" + port, 0).queryAll().get(0);
+        HostStatusClient client = HostStatusClient.of(platform, "127.0.0.1:" + port, 0);
+        clients.add(client);
+        return client.queryAll();
     }
 
     @ParameterizedTest
@@ -40,7 +46,8 @@
         "'HTTP/1.1 200 OK\r\nX A: b', false"
     })
     void onlyWholeReportsShowARevision(String head, boolean responded) {
-        assertThat(query(head).responded()).isEqualTo(responded);
-        assertThat(query(head).revision()).isEqualTo(responded ? 7 : -1);
+        assertThat(query(head))
+                .extracting(HostStatus::responded, HostStatus::revision)
+                .containsExactly(tuple(responded, responded ? 7L : -1L));
     }
 }
--- a/mesh/src/test/java/firwheel/mesh/AuthenticatedHttpTest.java
+++ b/mesh/src/test/java/firwheel/mesh/AuthenticatedHttpTest.java
@@ -5,6 +5,7 @@
 import firwheel.wire.SharedKey;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -20,6 +21,8 @@
     private static final String PATH = "/order";
 
     private final Vertx vertx = Vertx.vertx();
+    private final NetClient relayClient =
+            vertx.createNetClient(); // Vert.x closes a client that is no longer referenced
 
     @AfterEach
     void close() {
@@ -31,7 +34,7 @@
         vertx.createNetServer()
                 .connectHandler(caller -> {
                     caller.pause();
-                    vertx.createNetClient().connect(PORT, PROCESS_IP).onSuccess(process -> {
+                    relayClient.connect(PORT, PROCESS_IP).onSuccess(process -> {
                         caller.handler(process::write);
                         process.handler(
                                 bytes -> caller.write(Buffer.buffer(prefix).appendBuffer(bytes)));
