Expert maps: hold no step while orders that no agent remembers may be executed

Cause: a release is matched by its step alone, and which steps were used was known to the memory of the agents only. A process without memory acted as if none had been used.

HoldSteps states now whether its knowledge is complete. It is at the controller whose election creates the group's row in the store, and spreads with the steps in readings. A controller that finds no complete knowledge waits 15 s from its first reading of the whole group before it holds a step; engines execute an order up to 12 s late, and from that reading on the agents refuse orders of earlier controllers.

MapControllerTest.RestartOfAllAgents failed in 1 of 2 with the wait switched off, passes with it.

--- a/experts/src/main/java/firwheel/experts/rollout/HoldSteps.java
+++ b/experts/src/main/java/firwheel/experts/rollout/HoldSteps.java
@@ -8,7 +8,9 @@
  * would release it.
  *
  * <p>Each process beside the group has an instance, and they exchange what they know ({@link Known}), so that a new
- * controller does not use the steps of earlier ones either.
+ * controller does not use the steps of earlier ones either. A process that has just started knows of no steps, although
+ * orders of earlier controllers may still be executed: it holds no step until its knowledge is {@linkplain #isComplete()
+ * complete}.
  */
 public final class HoldSteps {
     private static final long MAX_STEPS_AHEAD = 32; // a map is switched to only when its step has been reached
@@ -18,32 +20,48 @@
      *
      * @param epoch group epoch of the steps; orders are not executed in another one
      * @param highestStep highest step used, or {@link RankView#NONE}
+     * @param complete whether no order for a higher step may still be executed; false from older versions
      */
-    public record Known(long epoch, long highestStep) {}
+    public record Known(long epoch, long highestStep, boolean complete) {}
 
-    private Known known = new Known(RankView.NONE, RankView.NONE);
+    private Known known = new Known(RankView.NONE, RankView.NONE, false);
 
     public Known known() {
         return known;
     }
 
-    /** Records what another process knows, or a step that was used. */
+    /** Returns whether no order for a step above the highest known one may still be executed. */
+    public boolean isComplete() {
+        return known.complete();
+    }
+
+    /** Records that orders for all steps that are not known have been executed or never will be. */
+    public void markComplete() {
+        known = new Known(known.epoch(), known.highestStep(), true);
+    }
+
+    /** Records what another process knows. */
     public void merge(Known other) {
         boolean sameEpoch = other.epoch() == known.epoch();
-        if (other.epoch() > known.epoch() || (sameEpoch && other.highestStep() > known.highestStep())) {
-            known = other;
-        }
+        boolean newer = other.epoch() > known.epoch() || (sameEpoch && other.highestStep() > known.highestStep());
+        Known highest = newer ? other : known;
+        known = new Known(highest.epoch(), highest.highestStep(), known.complete() || other.complete());
+    }
+
+    /** Records a step that was used. */
+    public void add(long epoch, long step) {
+        merge(new Known(epoch, step, false));
     }
 
     /** Records the steps that engines report. */
     public void observe(List<RankView> views) {
-        views.forEach(view -> merge(new Known(view.epoch(), Math.max(view.heldStep(), view.armedStep()))));
+        views.forEach(view -> add(view.epoch(), Math.max(view.heldStep(), view.armedStep())));
     }
 
     /** Returns an unused step that is not below {@code lowestStep}, and records it as used. */
     long next(long lowestStep) {
         long step = Math.max(lowestStep, known.highestStep() + 1);
-        known = new Known(known.epoch(), step);
+        known = new Known(known.epoch(), step, known.complete());
         return step;
     }
 
--- a/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
@@ -119,8 +119,7 @@
             return CompletableFuture.completedFuture(new RankCall.OrderReply(term, false));
         }
         if (call.order().step() != RankView.NONE) {
-            holdSteps.merge(
-                    new HoldSteps.Known(call.order().epoch(), call.order().step()));
+            holdSteps.add(call.order().epoch(), call.order().step());
         }
         return placement(call)
                 .thenCompose(packed -> engine.submit(call.unpack(packed)))
--- a/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
+++ b/rebalance/src/test/java/firwheel/rebalance/FakeGroup.java
@@ -22,6 +22,7 @@
     private boolean placementHidden;
     private boolean loadingNeverEnds;
     private int selectionReads;
+    private int holds;
     private int placementReads;
     private int placementReadsAtSwitch;
 
@@ -106,6 +107,11 @@
         armedStep[armedRank] = step + 1;
     }
 
+    /** Returns how many orders to hold a step were executed. */
+    synchronized int holds() {
+        return holds;
+    }
+
     synchronized boolean isHeld() {
         return java.util.Arrays.stream(held).anyMatch(heldStep -> heldStep == step + 1);
     }
@@ -243,6 +249,7 @@
                     return false;
                 }
                 held[rank] = order.step();
+                holds++;
             }
             case RELEASE -> held[rank] = RankView.NONE;
         }
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import firwheel.experts.rollout.HoldSteps;
+import firwheel.experts.rollout.RankView;
 import firwheel.mesh.AuthenticatedHttp;
 import firwheel.model.TimeSource;
 import firwheel.wire.SharedKey;
@@ -13,6 +15,7 @@
 import java.net.ServerSocket;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -42,6 +45,7 @@
     private final AtomicLong reports = new AtomicLong();
     private final List<Closeable> sockets = new ArrayList<>();
     private @Nullable EngineAddress silentEngine;
+    private final OffsetTime time = new OffsetTime();
     private volatile boolean electionsFail;
 
     @AfterEach
@@ -52,6 +56,11 @@
         vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 
+    private ControllerElection.Term newTerm() {
+        long number = terms.incrementAndGet();
+        return new ControllerElection.Term(number, number == 1);
+    }
+
     private static MapPolicy newPolicy() {
         return new MapPolicy(1, 12, 6, 3, Duration.ofMillis(5));
     }
@@ -65,10 +74,15 @@
     }
 
     private void startRank(int rank, int port) {
+        startRank(rank, port, new HoldSteps.Known(RankView.NONE, RankView.NONE, false));
+    }
+
+    private void startRank(int rank, int port, HoldSteps.Known rememberedSteps) {
         Engine engine = group.engine(rank);
         EngineAddress address = engine(rank);
         AuthenticatedHttp http = new AuthenticatedHttp(vertx, new SharedKey("secret"), port);
-        RankAgent agent = new RankAgent(engine, address, TimeSource.system());
+        RankAgent agent = new RankAgent(engine, address, time);
+        agent.holdSteps().merge(rememberedSteps);
         agent.registerHandlers(vertx, http);
         List<String> others = new ArrayList<>();
         for (int other = 0; other < RANKS; other++) {
@@ -78,7 +92,7 @@
         }
         MapController controller = new MapController(
                 vertx,
-                TimeSource.system(),
+                time,
                 agent,
                 engine,
                 http,
@@ -86,7 +100,7 @@
                     winners.add(rank);
                     return electionsFail
                             ? CompletableFuture.failedFuture(new IOException("no reply from the store"))
-                            : CompletableFuture.completedFuture(terms.incrementAndGet());
+                            : CompletableFuture.completedFuture(newTerm());
                 },
                 new ControllerEnvironment(
                         () -> others,
@@ -175,6 +189,55 @@
         }
     }
 
+    /**
+     * Guards against a delayed order that releases the hold of a controller which does not know that its step was used
+     * before: all agents have been started again since, so none of them remembers the step.
+     */
+    @Nested
+    final class RestartOfAllAgents {
+        @Test
+        void delaysFirstHoldUntilNoEarlierOrderCanBeExecuted() throws Exception {
+            terms.set(5);
+            int port = freePort();
+            for (int rank = 0; rank < RANKS; rank++) {
+                startRank(rank, port);
+            }
+
+            awaitReports(16);
+            assertThat(group.holds()).isZero();
+
+            time.offsetNanos.set(Duration.ofSeconds(15).toNanos());
+            awaitSwitch();
+        }
+
+        @Test
+        void doesNotDelayHoldsIfAnAgentRemembersTheirSteps() throws Exception {
+            terms.set(5);
+            int port = freePort();
+            startRank(0, port, new HoldSteps.Known(1, 3, true));
+            startRank(1, port);
+            startRank(2, port);
+
+            awaitSwitch();
+            assertThat(group.holds()).isPositive();
+        }
+    }
+
+    /** Real time plus an offset. */
+    private static final class OffsetTime implements TimeSource {
+        final AtomicLong offsetNanos = new AtomicLong();
+
+        @Override
+        public Instant now() {
+            return TimeSource.system().now();
+        }
+
+        @Override
+        public long monotonicNanos() {
+            return TimeSource.system().monotonicNanos() + offsetNanos.get();
+        }
+    }
+
     @Nested
     final class DifferentMaps {
         /** Guards against controllers that wait for ranks with different maps to agree, which they never do. */
