--- a/mesh/src/main/java/firwheel/mesh/ReaderRole.java
+++ b/mesh/src/main/java/firwheel/mesh/ReaderRole.java
@@ -126,6 +126,14 @@
         lastCallFailed = true;
     }
 
+    /**
+     * Records that the store does not answer a process which polls it. This process reads the store after a random delay
+     * unless it hears of an answer before, so that it is soon known whether the store answers others.
+     */
+    public void onReaderUnanswered() {
+        readNanos = Math.min(readNanos, time.monotonicNanos() + randomDelayNanos());
+    }
+
     /**
      * Records an answer that another process announces. Returns whether it is news; announcements may arrive twice, or
      * late through a process that was suspended. This process follows the other one if the store does not answer it, or
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -149,6 +149,8 @@
      * @param lastDeferredPosition position up to which removals are deferred, or 0 if it is not known
      * @param storeUpMillis time for which the store has answered the process without an outage in which registrations
      *     expire; 0 from older versions
+     * @param unanswered whether the store does not answer the sender, so that the message announces no answer and the
+     *     receivers should read the store themselves; false from older versions
      */
     record StoreNews(
             String ip,
@@ -163,7 +165,8 @@
             long fromPosition,
             List<RowChange> changes,
             long lastDeferredPosition,
-            long storeUpMillis)
+            long storeUpMillis,
+            boolean unanswered)
             implements MeshMessage {}
 
     /**
