Crash evidence: drop crashes that their targets have outlived

Cause: a refused connection was taken for the end of its target for good, so the loss of the entry's own link counted as crashes of all ranks at once, under the part that all prompts share. With that many crashes there is no trial, and a response that would clear the part needs a request that is refused.

A target that has ended is no longer registered, in that incarnation, after three intervals of silence. So a crash no longer counts, for parts of prompts and for whole requests alike, if the registration of the same incarnation is there five seconds later, while the store has answered all the while and has not returned from an older copy. Each entry finds this out by its own registrations. Reports carry the age of the crash, so that one of a crash that its target has outlived is ignored, whoever repeats it. No request of the suspected kind is sent for this, so what does crash targets stays refused.

--- a/model/src/main/java/firwheel/model/EventCode.java
+++ b/model/src/main/java/firwheel/model/EventCode.java
@@ -39,6 +39,10 @@
     BYTES_GIVEN_UP(220, Severity.WARN, "What kept most bytes gave way, as the process keeps too many for others."),
     RESPONSE_CUT(221, Severity.WARN, "A response was not written to its end; its connection is closed."),
     STEP_FAILED(222, Severity.ERROR, "A step of a request threw an exception; the request was ended at once."),
+    CRASH_REFUTED(
+            223,
+            Severity.INFO,
+            "A target has outlived a crash that it was suspected of; what was held against requests is dropped."),
     TABLE_IN_FORCE(301, Severity.INFO, "A table revision is in force on this host."),
     TABLE_REJECTED(302, Severity.ERROR, "Rows in the store fail the checks; the last good revision stays in force."),
     TABLE_OLDER(303, Severity.WARN, "An older table revision was offered and ignored."),
--- a/proxy/src/main/java/firwheel/proxy/crash/CrashDetector.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/CrashDetector.java
@@ -82,6 +82,11 @@
         }
     }
 
+    /** Records that a target which was taken for ended has not, so that its end explains no response lost since. */
+    public void onTargetSurvived(Target.Key target) {
+        incidents.remove(target);
+    }
+
     /** Records that a target which did not leave has ended. */
     public void onTargetEnded(Target.Key target, End end) {
         Incidents known = at(target);
--- a/proxy/src/main/java/firwheel/proxy/crash/CrashLedger.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/CrashLedger.java
@@ -6,8 +6,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -24,8 +26,8 @@
  *   <li>after four in any case.
  * </ul>
  *
- * Crashes with another known cause do not count. A complete response clears a request. One that is refused gets another chance after a time, until it has crashed four
- * targets.
+ * Crashes with another known cause do not count, nor those that their targets survived. A complete response clears a
+ * request. One that is refused gets another chance after a time, until it has crashed four targets.
  */
 public final class CrashLedger {
     /** What is known of a request. */
@@ -53,8 +55,7 @@
     private final RepeatSchedule repeats = new RepeatSchedule();
 
     private final class Evidence {
-        /** Incarnations that crashed, and whether the request was cleared of it. */
-        private final Map<Target.Key, Boolean> crashes = new LinkedHashMap<>();
+        private final Map<Target.Key, SuspectedCrash> crashes = new LinkedHashMap<>();
 
         private long lastSeenNanos;
         private long lastCrashNanos;
@@ -64,7 +65,8 @@
         }
 
         boolean counts(Target.Key target) {
-            return Boolean.FALSE.equals(crashes.get(target)) && !explained.test(target);
+            SuspectedCrash crash = crashes.get(target);
+            return crash != null && !crash.isCleared() && !explained.test(target);
         }
     }
 
@@ -101,7 +103,7 @@
 
     /** Records that a target crashed while running a request; returns whether this was not known. */
     public boolean recordCrash(RequestFingerprint request, Target.Key target) {
-        return merge(new CrashReport(request, target, false, Duration.ZERO));
+        return merge(new CrashReport(request, target, false, Duration.ZERO, Duration.ZERO));
     }
 
     /** Merges a report of this or another entry; returns whether it changed anything. */
@@ -119,27 +121,50 @@
         }
         known.lastSeenNanos =
                 Math.max(known.lastSeenNanos, now - report.lastSeenAge().toNanos());
-        Boolean knownCleared = known.crashes.get(report.target());
-        if (knownCleared == null && known.crashes.size() == MAX_CRASHES_PER_REQUEST) {
-            return false;
+        SuspectedCrash crash = known.crashes.get(report.target());
+        long observedNanos = now - report.crashAge().toNanos();
+        if (crash != null) {
+            crash.observe(observedNanos);
+            return report.cleared() && crash.clear();
         }
-        if (knownCleared != null && (knownCleared || !report.cleared())) {
+        if (known.crashes.size() == MAX_CRASHES_PER_REQUEST) {
             return false;
         }
-        known.crashes.put(report.target(), report.cleared());
-        if (!report.cleared()) {
+        crash = new SuspectedCrash(observedNanos);
+        known.crashes.put(report.target(), crash);
+        if (report.cleared()) {
+            crash.clear();
+        } else {
             known.lastCrashNanos = now;
         }
         return true;
     }
 
+    /** Removes the crashes that their targets have survived; returns these targets. */
+    public Set<Target.Key> removeSurvived(SurvivalCheck survival) {
+        long now = time.monotonicNanos();
+        Set<Target.Key> survivors = new LinkedHashSet<>();
+        evidence.values().removeIf(known -> {
+            known.crashes.entrySet().removeIf(crash -> {
+                boolean survived = !crash.getValue().isCleared()
+                        && survival.hasSurvived(crash.getKey(), crash.getValue().age(now));
+                if (survived) {
+                    survivors.add(crash.getKey());
+                }
+                return survived;
+            });
+            return known.crashes.isEmpty();
+        });
+        return survivors;
+    }
+
     /** Records that a target responded completely to a request; returns the reports that clear it, empty if none. */
     public List<CrashReport> clear(RequestFingerprint request) {
         Evidence known = evidence.get(request);
         if (known == null || known.count() == 0) {
             return List.of();
         }
-        known.crashes.replaceAll((target, cleared) -> true);
+        known.crashes.values().forEach(SuspectedCrash::clear);
         known.lastSeenNanos = time.monotonicNanos();
         return reports(request, known);
     }
@@ -223,9 +248,15 @@
     }
 
     private List<CrashReport> reports(RequestFingerprint request, Evidence known) {
-        Duration age = Duration.ofNanos(time.monotonicNanos() - known.lastSeenNanos);
+        long now = time.monotonicNanos();
+        Duration seenAge = Duration.ofNanos(now - known.lastSeenNanos);
         return known.crashes.entrySet().stream()
-                .map(crash -> new CrashReport(request, crash.getKey(), crash.getValue(), age))
+                .map(crash -> new CrashReport(
+                        request,
+                        crash.getKey(),
+                        crash.getValue().isCleared(),
+                        seenAge,
+                        crash.getValue().age(now)))
                 .toList();
     }
 
--- a/proxy/src/main/java/firwheel/proxy/crash/PartEvidence.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartEvidence.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** The crashes that one part of a prompt is suspected of. */
 final class PartEvidence {
@@ -23,9 +24,12 @@
     private int strength = UNKNOWN;
     private int nextReport;
 
-    private static final class Crash {
+    private static final class Crash extends SuspectedCrash {
         private final Set<RequestFingerprint> requests = new LinkedHashSet<>();
-        private boolean cleared;
+
+        Crash(long observedNanos) {
+            super(observedNanos);
+        }
     }
 
     PartEvidence(boolean familiar, long lastSeenNanos) {
@@ -43,23 +47,40 @@
             if (crashes.size() == MAX_CRASHES && !removeClearedCrash()) {
                 return newlyFamiliar;
             }
-            crash = new Crash();
+            crash = new Crash(nowNanos - report.crashAge().toNanos());
             crashes.put(report.target(), crash);
             if (!report.cleared()) {
                 lastCrashNanos = nowNanos;
             }
         }
         boolean newRequest = crash.requests.size() < MAX_REQUESTS_PER_CRASH && crash.requests.add(report.request());
-        boolean newlyCleared = report.cleared() && !crash.cleared;
-        crash.cleared |= report.cleared();
+        crash.observe(nowNanos - report.crashAge().toNanos());
+        boolean newlyCleared = report.cleared() && crash.clear();
+        strength = UNKNOWN;
+        return newlyFamiliar || newlyCleared || (newRequest && !crash.isCleared());
+    }
+
+    /** Removes the crashes that their targets have survived; returns these targets. */
+    Set<Target.Key> removeSurvived(SurvivalCheck survival, long nowNanos) {
+        Set<Target.Key> survivors = crashes.entrySet().stream()
+                .filter(entry -> !entry.getValue().isCleared()
+                        && survival.hasSurvived(entry.getKey(), entry.getValue().age(nowNanos)))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+        crashes.keySet().removeAll(survivors);
         strength = UNKNOWN;
-        return newlyFamiliar || newlyCleared || (newRequest && !crash.cleared);
+        return survivors;
+    }
+
+    /** Returns whether no crash is known, cleared or not. */
+    boolean isEmpty() {
+        return crashes.isEmpty();
     }
 
     /** Removes the oldest crash that the part was cleared of; returns false if there is none. */
     private boolean removeClearedCrash() {
         return crashes.values().stream()
-                .filter(crash -> crash.cleared)
+                .filter(SuspectedCrash::isCleared)
                 .findFirst()
                 .map(crash -> crashes.values().remove(crash))
                 .orElse(false);
@@ -70,7 +91,7 @@
         if (!isSuspected()) {
             return false;
         }
-        crashes.values().forEach(crash -> crash.cleared = true);
+        crashes.values().forEach(SuspectedCrash::clear);
         familiar = true;
         lastSeenNanos = nowNanos;
         strength = UNKNOWN;
@@ -83,13 +104,13 @@
 
     /** Returns whether a crash is held against the part. */
     boolean isSuspected() {
-        return crashes.values().stream().anyMatch(crash -> !crash.cleared);
+        return crashes.values().stream().anyMatch(crash -> !crash.isCleared());
     }
 
     /** Returns the crashes that are held against the part, by the targets that crashed. */
     List<Target.Key> suspectedCrashes() {
         return crashes.entrySet().stream()
-                .filter(entry -> !entry.getValue().cleared)
+                .filter(entry -> !entry.getValue().isCleared())
                 .map(Map.Entry::getKey)
                 .toList();
     }
@@ -125,7 +146,7 @@
 
     private int computeStrength() {
         List<Crash> suspected =
-                crashes.values().stream().filter(crash -> !crash.cleared).toList();
+                crashes.values().stream().filter(crash -> !crash.isCleared()).toList();
         Map<RequestFingerprint, Integer> crashesByRequest = new HashMap<>();
         suspected.forEach(crash -> crash.requests.forEach(request -> crashesByRequest.merge(request, 1, Integer::sum)));
         Comparator<RequestFingerprint> mostCrashes = Comparator.<RequestFingerprint>comparingInt(
@@ -148,9 +169,15 @@
         Duration age = Duration.ofNanos(nowNanos - lastSeenNanos);
         return crashes.entrySet().stream()
                 .flatMap(entry -> entry.getValue().requests.stream()
-                        .limit(entry.getValue().cleared ? 1 : MAX_REQUESTS_PER_CRASH) // one clears the crash
-                        .map(request ->
-                                new PartReport(part, entry.getKey(), request, familiar, entry.getValue().cleared, age)))
+                        .limit(entry.getValue().isCleared() ? 1 : MAX_REQUESTS_PER_CRASH) // one clears the crash
+                        .map(request -> new PartReport(
+                                part,
+                                entry.getKey(),
+                                request,
+                                familiar,
+                                entry.getValue().isCleared(),
+                                age,
+                                entry.getValue().age(nowNanos))))
                 .toList();
     }
 }
--- a/proxy/src/main/java/firwheel/proxy/crash/PartLedger.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartLedger.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -18,7 +19,7 @@
  * and the decision which requests to refuse. Merging needs no order. Not thread-safe; performs no I/O.
  *
  * <p>Each part of each request that waited for its response at a crashed target is suspected, and cleared as soon as a
- * target responds to any request with it. The strength of the evidence against a part is the number of different
+ * target responds to any request with it, or as the target turns out to have survived. The strength of the evidence against a part is the number of different
  * requests that its crashes are attributed to: a request that is retried, or comes again, counts once.
  *
  * <p>A crash is attributed to the parts with the strongest evidence of those suspected of it, and among these to the ones
@@ -86,8 +87,8 @@
     /** Records that a target crashed as it began to respond to a request; returns what was not known. */
     public List<PartReport> recordCrash(Suspect suspect, Target.Key target) {
         return suspect.parts().stream()
-                .map(part ->
-                        new PartReport(part, target, suspect.request(), responded.contains(part), false, Duration.ZERO))
+                .map(part -> new PartReport(
+                        part, target, suspect.request(), responded.contains(part), false, Duration.ZERO, Duration.ZERO))
                 .filter(this::merge)
                 .toList();
     }
@@ -183,6 +184,18 @@
         return true;
     }
 
+    /** Removes the crashes that their targets have survived; returns these targets. */
+    public Set<Target.Key> removeSurvived(SurvivalCheck survival) {
+        long now = time.monotonicNanos();
+        Set<Target.Key> survivors = new LinkedHashSet<>();
+        evidence.values().forEach(known -> survivors.addAll(known.removeSurvived(survival, now)));
+        if (!survivors.isEmpty()) {
+            evidence.values().removeIf(PartEvidence::isEmpty);
+            attributions = null;
+        }
+        return survivors;
+    }
+
     /** Removes parts that were not seen for a time; returns those that were still suspected. */
     public List<PromptPart> removeExpired() {
         long now = time.monotonicNanos();
--- a/proxy/src/main/java/firwheel/proxy/crash/PartReport.java
+++ b/proxy/src/main/java/firwheel/proxy/crash/PartReport.java
@@ -12,6 +12,7 @@
  * @param familiar whether a target is known to have ever responded to a request with the part
  * @param cleared whether a target has responded to a request with the part since the crash
  * @param lastSeenAge time since a request with the part was last seen at an entry
+ * @param crashAge time since the crash was observed
  */
 public record PartReport(
         PromptPart part,
@@ -19,4 +20,5 @@
         RequestFingerprint request,
         boolean familiar,
         boolean cleared,
-        Duration lastSeenAge) {}
+        Duration lastSeenAge,
+        Duration crashAge) {}
--- a/proxy/src/main/java/firwheel/proxy/server/CrashGuard.java
+++ b/proxy/src/main/java/firwheel/proxy/server/CrashGuard.java
@@ -8,10 +8,13 @@
 import firwheel.proxy.crash.CrashLedger.Verdict;
 import firwheel.proxy.crash.CrashReport;
 import firwheel.proxy.crash.RequestFingerprint;
+import firwheel.proxy.crash.SurvivalCheck;
 import firwheel.proxy.crash.Suspect;
 import firwheel.proxy.targets.Target;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -30,6 +33,7 @@
     private final PartGuard parts;
     private Consumer<List<CrashReport>> reporter = reports -> {};
     private Predicate<String> trialOwner = key -> true;
+    private SurvivalCheck survival = (target, crashAge) -> false;
 
     CrashGuard(TimeSource time, PartGuard parts) {
         this.parts = parts;
@@ -47,6 +51,12 @@
         this.trialOwner = trialOwner;
     }
 
+    /** Sets how it is found out that a target has survived a crash that it is suspected of. */
+    void setSurvivalCheck(SurvivalCheck survivalCheck) {
+        survival = survivalCheck;
+        parts.setSurvivalCheck(survivalCheck);
+    }
+
     /** Returns what is known of a request that has arrived or is to be sent. */
     Verdict judge(Supplier<RequestFingerprint> request) {
         if (ledger.isEmpty()) {
@@ -96,7 +106,8 @@
     /** Merges what another entry knows. */
     void onPeerReport(CrashReport report) {
         Verdict before = ledger.judge(report.request());
-        if (!ledger.merge(report)) {
+        boolean survived = !report.cleared() && survival.hasSurvived(report.target(), report.crashAge());
+        if (survived || !ledger.merge(report)) {
             return;
         }
         if (report.cleared()) {
@@ -117,6 +128,28 @@
         return ledger.size();
     }
 
+    /** Drops the crashes that their targets have survived, under whole requests and parts of prompts. */
+    void removeSurvived() {
+        Set<Target.Key> survivors = new LinkedHashSet<>(ledger.removeSurvived(survival));
+        survivors.addAll(parts.removeSurvived());
+        for (Target.Key target : survivors) {
+            detector.onTargetSurvived(target);
+            Events.log(
+                    logger,
+                    EventCode.CRASH_REFUTED,
+                    "target",
+                    target.instanceId(),
+                    "startedMillis",
+                    target.startedMillis(),
+                    "suspectedRequests",
+                    ledger.size(),
+                    "suspectedParts",
+                    parts.suspectedParts(),
+                    "refusals",
+                    parts.refusals());
+        }
+    }
+
     void removeExpired() {
         ledger.removeExpired().forEach(request -> log(EventCode.SUSPICION_EXPIRED, request));
     }
@@ -127,7 +160,7 @@
         Verdict before = ledger.judge(request);
         if (ledger.recordCrash(request, target)) {
             logCrash(request, target, before, "response", Duration.ZERO);
-            reporter.accept(List.of(new CrashReport(request, target, false, Duration.ZERO)));
+            reporter.accept(List.of(new CrashReport(request, target, false, Duration.ZERO, Duration.ZERO)));
         }
     }
 
--- a/proxy/src/main/java/firwheel/proxy/server/PartGuard.java
+++ b/proxy/src/main/java/firwheel/proxy/server/PartGuard.java
@@ -7,6 +7,7 @@
 import firwheel.proxy.crash.PartLedger.Verdict;
 import firwheel.proxy.crash.PartReport;
 import firwheel.proxy.crash.PromptPart;
+import firwheel.proxy.crash.SurvivalCheck;
 import firwheel.proxy.crash.Suspect;
 import firwheel.proxy.targets.Target;
 import java.util.LinkedHashSet;
@@ -29,6 +30,7 @@
     private final PartLedger ledger;
     private Consumer<List<PartReport>> reporter = reports -> {};
     private Predicate<String> trialOwner = key -> true;
+    private SurvivalCheck survival = (target, crashAge) -> false;
     private Set<Set<PromptPart>> refusals = Set.of();
 
     PartGuard(TimeSource time) {
@@ -45,6 +47,11 @@
         this.trialOwner = trialOwner;
     }
 
+    /** Sets how it is found out that a target has survived a crash that it is suspected of. */
+    void setSurvivalCheck(SurvivalCheck survivalCheck) {
+        survival = survivalCheck;
+    }
+
     /** Returns what is known of a request with these parts that has arrived or is to be sent. */
     Verdict judge(Set<PromptPart> parts) {
         if (ledger.isEmpty() || parts.isEmpty()) {
@@ -98,7 +105,8 @@
     Set<Target.Key> onPeerReports(List<PartReport> reports) {
         Set<Target.Key> crashed = new LinkedHashSet<>();
         for (PartReport report : reports) {
-            if (ledger.merge(report)) {
+            boolean survived = !report.cleared() && survival.hasSurvived(report.target(), report.crashAge());
+            if (!survived && ledger.merge(report)) {
                 if (report.cleared()) {
                     logCleared(report.part(), "peer");
                 } else {
@@ -126,6 +134,15 @@
         return ledger.refusals().size();
     }
 
+    /** Drops the crashes that their targets have survived; returns these targets. */
+    Set<Target.Key> removeSurvived() {
+        Set<Target.Key> survivors = ledger.removeSurvived(survival);
+        if (!survivors.isEmpty()) {
+            logRefusals();
+        }
+        return survivors;
+    }
+
     void removeExpired() {
         ledger.removeExpired()
                 .forEach(part ->
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -16,6 +16,7 @@
 import firwheel.proxy.crash.CrashDetector;
 import firwheel.proxy.crash.CrashReport;
 import firwheel.proxy.crash.PartReport;
+import firwheel.proxy.crash.SurvivalCheck;
 import firwheel.proxy.memory.CollectedBytes;
 import firwheel.proxy.memory.HeldBytes;
 import firwheel.proxy.targets.GroupMembership;
@@ -200,6 +201,11 @@
         state.partGuard.setTrialOwner(trialOwner);
     }
 
+    /** Sets how it is found out that a target has survived a crash that it is suspected of. */
+    public void setSurvivalCheck(SurvivalCheck survivalCheck) {
+        state.crashGuard.setSurvivalCheck(survivalCheck);
+    }
+
     /** Sets the receiver of what this entry newly knows of parts of prompts that crash targets. */
     public void onPartReports(Consumer<List<PartReport>> reporter) {
         state.partGuard.setReporter(reporter);
@@ -428,6 +434,7 @@
     private void runMaintenance() {
         boundary.run("close expired connections", state.connections::closeExpired);
         boundary.run("remove retired targets", state.targetSelector::removeRetired);
+        boundary.run("remove refuted crashes", state.crashGuard::removeSurvived);
         boundary.run("remove expired crashes", state.crashGuard::removeExpired);
         boundary.run("remove expired parts", state.partGuard::removeExpired);
         RoutingConfig config = state.config();
--- a/proxy/src/test/java/firwheel/proxy/crash/CrashLedgerTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/CrashLedgerTest.java
@@ -71,7 +71,7 @@
             crash(GUILTY, 1, 1);
 
             assertThat(ledger.crashes(GUILTY)).isEqualTo(1);
-            assertThat(ledger.merge(new CrashReport(GUILTY, target(1), false, Duration.ZERO)))
+            assertThat(ledger.merge(new CrashReport(GUILTY, target(1), false, Duration.ZERO, Duration.ZERO)))
                     .isFalse();
         }
 
@@ -109,9 +109,9 @@
         void givesTheSameVerdictInAnyOrderAndWithRepeats() {
             List<CrashReport> reports = new ArrayList<>();
             for (int i = 1; i <= 3; i++) {
-                reports.add(new CrashReport(GUILTY, target(i), false, Duration.ZERO));
-                reports.add(new CrashReport(SOUND, target(i), false, Duration.ZERO));
-                reports.add(new CrashReport(SOUND, target(i), true, Duration.ZERO));
+                reports.add(new CrashReport(GUILTY, target(i), false, Duration.ZERO, Duration.ZERO));
+                reports.add(new CrashReport(SOUND, target(i), false, Duration.ZERO, Duration.ZERO));
+                reports.add(new CrashReport(SOUND, target(i), true, Duration.ZERO, Duration.ZERO));
             }
             Random random = new Random(1);
             for (int round = 0; round < 50; round++) {
--- a/proxy/src/test/java/firwheel/proxy/crash/PartLedgerTest.java
+++ b/proxy/src/test/java/firwheel/proxy/crash/PartLedgerTest.java
@@ -191,4 +191,55 @@
         assertThat(ledger.removeExpired()).containsExactlyElementsOf(parts("bad"));
         assertThat(ledger.isEmpty()).isTrue();
     }
+
+    /** Guards against suspicion without an end, which an entry raises that loses its link to all targets. */
+    @Nested
+    final class SurvivedCrashes {
+        private static final int RANKS = 12;
+
+        private void suspectOfCrashesOfAllRanks() {
+            for (int i = 0; i < RANKS; i++) {
+                play(i + ":r" + i + ":shared");
+            }
+            assertThat(ledger.judge(parts("shared"))).isEqualTo(Verdict.REFUSED);
+        }
+
+        @Test
+        void doNotCountWhateverTheirNumber() {
+            suspectOfCrashesOfAllRanks();
+            time.advance(Duration.ofSeconds(5));
+
+            assertThat(ledger.removeSurvived((target, age) -> age.toSeconds() >= 5))
+                    .isNotEmpty();
+
+            assertThat(ledger.judge(parts("shared"))).isEqualTo(Verdict.UNSUSPECTED);
+            assertThat(ledger.isEmpty()).isTrue();
+            assertThat(ledger.nextReports(4)).isEmpty();
+        }
+
+        @Test
+        void leaveTheOthersInForce() {
+            suspectOfCrashesOfAllRanks();
+            time.advance(Duration.ofSeconds(5));
+            play("0:r20:shared");
+
+            ledger.removeSurvived((target, age) -> age.toSeconds() >= 5);
+
+            assertThat(ledger.crashes(new PromptPart("svc", "shared"))).isEqualTo(1);
+        }
+
+        /** Reports travel from entry to entry; one that is repeated must not make a crash a later one. */
+        @Test
+        void keepTheirAgeInReports() {
+            suspectOfCrashesOfAllRanks();
+            time.advance(Duration.ofSeconds(3));
+            List<PartReport> reports = ledger.nextReports(4);
+            assertThat(reports).extracting(PartReport::crashAge).containsOnly(Duration.ofSeconds(3));
+            time.advance(Duration.ofSeconds(1));
+
+            reports.forEach(ledger::merge);
+
+            assertThat(ledger.nextReports(4)).extracting(PartReport::crashAge).containsOnly(Duration.ofSeconds(4));
+        }
+    }
 }
--- a/wire/src/main/java/firwheel/wire/MeshMessage.java
+++ b/wire/src/main/java/firwheel/wire/MeshMessage.java
@@ -95,8 +95,15 @@
      * @param startedMillis start time of the target in Unix milliseconds
      * @param cleared whether the request has been answered by a target since
      * @param seenMillisAgo time since the request was last seen at an entry
+     * @param crashMillisAgo time since the crash was observed; 0 from older versions
      */
-    record CrashReport(String request, String instanceId, long startedMillis, boolean cleared, long seenMillisAgo) {}
+    record CrashReport(
+            String request,
+            String instanceId,
+            long startedMillis,
+            boolean cleared,
+            long seenMillisAgo,
+            long crashMillisAgo) {}
 
     /** Some of the evidence that the sender has of requests that crash their targets. */
     record CrashReports(List<CrashReport> reports) implements MeshMessage {
@@ -115,6 +122,7 @@
      * @param familiar whether a target is known to have ever responded to a request with the part
      * @param cleared whether a target has responded to a request with the part since
      * @param seenMillisAgo time since the part was last seen at an entry
+     * @param crashMillisAgo time since the crash was observed; 0 from older versions
      */
     record PartReport(
             String service,
@@ -124,7 +132,8 @@
             long startedMillis,
             boolean familiar,
             boolean cleared,
-            long seenMillisAgo) {}
+            long seenMillisAgo,
+            long crashMillisAgo) {}
 
     /** Some of the evidence that the sender has of parts of prompts that crash targets. */
     record PartReports(List<PartReport> reports) implements MeshMessage {
--- a/wire/src/test/java/firwheel/wire/MessageCodecTest.java
+++ b/wire/src/test/java/firwheel/wire/MessageCodecTest.java
@@ -61,7 +61,15 @@
         void holdReportsOfPartsWithIdentifiersOfTheLongestLength() {
             String longest = "x".repeat(64);
             MeshMessage.PartReport report = new MeshMessage.PartReport(
-                    longest, longest, "f".repeat(32), longest, Long.MAX_VALUE, true, true, Long.MAX_VALUE);
+                    longest,
+                    longest,
+                    "f".repeat(32),
+                    longest,
+                    Long.MAX_VALUE,
+                    true,
+                    true,
+                    Long.MAX_VALUE,
+                    Long.MAX_VALUE);
             MeshMessage.PartReports reports =
                     new MeshMessage.PartReports(Collections.nCopies(MeshMessage.PartReports.MAX_REPORTS, report));
 
