Expert maps: take a term for the first one only if the ranks agree

The first term of a group is known by the missing row of its controller. Without the row, a controller would again hold at steps that late orders may still release.

The knowledge of steps counts as complete now only if all ranks also use their first map and have nothing prepared, armed or held.

--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -70,6 +70,7 @@
     private long term;
     private boolean takeoverComplete;
     private boolean renewingTerm;
+    private boolean firstTerm;
     private @Nullable Long groupReadSinceNanos;
     private @Nullable MapRollout rollout;
     private int incompleteReads;
@@ -170,9 +171,7 @@
         term = wonTerm;
         agent.observeTerm(wonTerm);
         groupReadSinceNanos = null;
-        if (won.first()) {
-            holdSteps.markComplete();
-        }
+        firstTerm = won.first();
         takeoverComplete = false;
         mapInUse.forget();
         disagreement.forget();
@@ -244,6 +243,10 @@
             return ReadingLog.Outcome.RANKS_DISAGREE;
         }
         holdSteps.observe(views);
+        if (firstTerm && views.stream().allMatch(RankView::isInitial)) {
+            holdSteps.markComplete();
+        }
+        firstTerm = false;
         disagreement.onRead(views);
         if (disagreement.isPresent()) {
             return repair(readings, views);
--- a/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
+++ b/rebalance/src/test/java/firwheel/rebalance/MapControllerTest.java
@@ -210,6 +210,20 @@
             awaitSwitch();
         }
 
+        /** A restored store may have lost the row that shows that there was a controller before. */
+        @Test
+        void delaysFirstHoldOfAFirstTermIfRanksHaveTakenOrders() throws Exception {
+            group.simulatePreparedMap();
+            int port = freePort();
+            for (int rank = 0; rank < RANKS; rank++) {
+                startRank(rank, port);
+            }
+
+            awaitReports(16);
+
+            assertThat(group.holds()).isZero();
+        }
+
         @Test
         void doesNotDelayHoldsIfAnAgentRemembersTheirSteps() throws Exception {
             terms.set(5);
