--- a/experts/src/main/java/firwheel/experts/rollout/RankView.java
+++ b/experts/src/main/java/firwheel/experts/rollout/RankView.java
@@ -27,7 +27,7 @@
     /** Value for no version or no step. */
     public static final long NONE = -1;
 
-    /** Returns whether the rank uses its first map, and none of its orders to hold or switch to another is known. */
+    /** Returns whether the rank uses its first map and has none prepared, armed or held. */
     public boolean isInitial() {
         return mapVersion == 0 && preparedVersion == NONE && !isArmed() && !isHolding();
     }
