Expert maps: hold at most 9 steps ahead, so that few need to be skipped

The 32 bounds how many rollouts of an idle group may be aborted in a row before the next one waits for passes.

--- a/experts/src/main/java/firwheel/experts/rollout/HoldSteps.java
+++ b/experts/src/main/java/firwheel/experts/rollout/HoldSteps.java
@@ -13,7 +13,8 @@
  * used: rollouts hold a limited number of steps ahead, and the step of a group never falls within an epoch.
  */
 public final class HoldSteps {
-    private static final long MAX_STEPS_AHEAD = 32; // a map is switched to only when its step has been reached
+    // More than the lead of a hold. A new controller may have to skip as many, and its first map waits for them.
+    private static final long MAX_STEPS_AHEAD = 9;
 
     /**
      * What is known of the steps used.
