Expert maps: let each new controller skip the steps that may have been used

A reader had to follow five classes to see why a step is not used twice, and an agent whose memory was out of date, as after a cut, was believed.

Each new controller skips the nine steps now, whatever anyone remembers. The first map of a controller comes nine passes later.

--- a/experts/src/main/java/firwheel/experts/rollout/HoldSteps.java
+++ b/experts/src/main/java/firwheel/experts/rollout/HoldSteps.java
@@ -8,12 +8,12 @@
  * would release it.
  *
  * <p>Each process beside the group has an instance, and they exchange what they know ({@link Known}), so that a new
- * controller does not use the steps of earlier ones either. A process that has just started knows of no steps, although
- * orders of earlier controllers may still be executed. If no other process remembers them, it skips all that can have been
- * used: rollouts hold a limited number of steps ahead, and the step of a group never falls within an epoch.
+ * controller does not use the steps of earlier ones either. What processes remember is lost when all of them are started
+ * again, while orders of earlier controllers may still be executed. So a new controller also skips all steps that can
+ * have been used: rollouts hold a limited number of steps ahead, and the step of a group never falls within an epoch.
  */
 public final class HoldSteps {
-    // More than the lead of a hold. A new controller may have to skip as many, and its first map waits for them.
+    // More than the lead of a hold. A new controller skips as many, and its first map waits for them.
     private static final long MAX_STEPS_AHEAD = 9;
 
     /**
@@ -21,56 +21,37 @@
      *
      * @param epoch group epoch of the steps; orders are not executed in another one
      * @param highestStep highest step used, or {@link RankView#NONE}
-     * @param complete whether no higher step has been used; false from older versions
      */
-    public record Known(long epoch, long highestStep, boolean complete) {}
+    public record Known(long epoch, long highestStep) {}
 
-    private Known known = new Known(RankView.NONE, RankView.NONE, false);
+    private Known known = new Known(RankView.NONE, RankView.NONE);
 
     public Known known() {
         return known;
     }
 
-    /** Returns whether all steps that have been used are at or below the highest known one. */
-    public boolean isComplete() {
-        return known.complete();
-    }
-
-    /** Skips the steps that other processes may have used, unless they are known. */
-    public void skipUnknown(List<RankView> views) {
-        if (!known.complete()) {
-            views.forEach(view -> add(view.epoch(), view.step() + MAX_STEPS_AHEAD));
-            markComplete();
-        }
-    }
-
-    /** Records that no steps have been used but those that are known. */
-    public void markComplete() {
-        known = new Known(known.epoch(), known.highestStep(), true);
-    }
-
-    /** Records what another process knows. */
+    /** Records what another process knows, or a step that was used. */
     public void merge(Known other) {
         boolean sameEpoch = other.epoch() == known.epoch();
-        boolean newer = other.epoch() > known.epoch() || (sameEpoch && other.highestStep() > known.highestStep());
-        Known highest = newer ? other : known;
-        known = new Known(highest.epoch(), highest.highestStep(), known.complete() || other.complete());
-    }
-
-    /** Records a step that was used. */
-    public void add(long epoch, long step) {
-        merge(new Known(epoch, step, false));
+        if (other.epoch() > known.epoch() || (sameEpoch && other.highestStep() > known.highestStep())) {
+            known = other;
+        }
     }
 
     /** Records the steps that engines report. */
     public void observe(List<RankView> views) {
-        views.forEach(view -> add(view.epoch(), Math.max(view.heldStep(), view.armedStep())));
+        views.forEach(view -> merge(new Known(view.epoch(), Math.max(view.heldStep(), view.armedStep()))));
+    }
+
+    /** Skips all steps that earlier controllers can have used. */
+    public void skipPossiblyUsed(List<RankView> views) {
+        views.forEach(view -> merge(new Known(view.epoch(), view.step() + MAX_STEPS_AHEAD)));
     }
 
     /** Returns an unused step that is not below {@code lowestStep}, and records it as used. */
     long next(long lowestStep) {
         long step = Math.max(lowestStep, known.highestStep() + 1);
-        known = new Known(known.epoch(), step, known.complete());
+        known = new Known(known.epoch(), step);
         return step;
     }
 
--- a/experts/src/main/java/firwheel/experts/rollout/RankView.java
+++ b/experts/src/main/java/firwheel/experts/rollout/RankView.java
@@ -27,11 +27,6 @@
     /** Value for no version or no step. */
     public static final long NONE = -1;
 
-    /** Returns whether the rank uses its first map and has none prepared, armed or held. */
-    public boolean isInitial() {
-        return mapVersion == 0 && preparedVersion == NONE && !isArmed() && !isHolding();
-    }
-
     /** Returns whether the rank is armed to switch to a version. */
     public boolean isArmed() {
         return armedVersion != NONE;
--- a/rebalance/src/main/java/firwheel/rebalance/ControllerElection.java
+++ b/rebalance/src/main/java/firwheel/rebalance/ControllerElection.java
@@ -6,16 +6,8 @@
 @FunctionalInterface
 public interface ControllerElection {
     /**
-     * Term of a controller.
-     *
-     * @param number number of the term, higher than those of all earlier terms; 0 if another process won
-     * @param first whether the group is known to have had no controller before
+     * Tries to become the controller of {@code group}. Completes with the new term, which is higher than all earlier
+     * ones, or with 0 if another process won.
      */
-    record Term(long number, boolean first) {
-        /** Result of an election that another process won. */
-        public static final Term NONE = new Term(0, false);
-    }
-
-    /** Tries to become the controller of {@code group}. Completes with the new term, or with {@link Term#NONE}. */
-    CompletableFuture<Term> tryBecomeController(String group);
+    CompletableFuture<Long> tryBecomeController(String group);
 }
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -68,7 +68,7 @@
     private long term;
     private boolean takeoverComplete;
     private boolean renewingTerm;
-    private boolean firstTerm;
+    private boolean holdStepsSkipped;
     private @Nullable MapRollout rollout;
     private int incompleteReads;
     private long lastReportNanos;
@@ -157,18 +157,17 @@
         return election.tryBecomeController(group)
                 .whenComplete((wonTerm, error) -> agent.resetElectionTimer())
                 .thenAccept(wonTerm -> {
-                    if (wonTerm.number() > 0) {
+                    if (wonTerm > 0) {
                         startTerm(wonTerm);
                     }
                 });
     }
 
-    private void startTerm(ControllerElection.Term won) {
-        long wonTerm = won.number();
+    private void startTerm(long wonTerm) {
         term = wonTerm;
         agent.observeTerm(wonTerm);
-        firstTerm = won.first();
         takeoverComplete = false;
+        holdStepsSkipped = false;
         mapInUse.forget();
         disagreement.forget();
         versions.startTerm(wonTerm);
@@ -177,17 +176,7 @@
             policy.reset();
         }
         environment.metrics().setControlling(true);
-        Events.log(
-                logger,
-                EventCode.LEASE_ACQUIRED,
-                "group",
-                group,
-                "term",
-                wonTerm,
-                "firstTerm",
-                won.first(),
-                "holdStepsComplete",
-                holdSteps.isComplete());
+        Events.log(logger, EventCode.LEASE_ACQUIRED, "group", group, "term", wonTerm);
     }
 
     private CompletableFuture<Void> control() {
@@ -239,11 +228,10 @@
             return ReadingLog.Outcome.RANKS_DISAGREE;
         }
         holdSteps.observe(views);
-        if (firstTerm && views.stream().allMatch(RankView::isInitial)) {
-            holdSteps.markComplete();
+        if (!holdStepsSkipped) {
+            holdSteps.skipPossiblyUsed(views);
+            holdStepsSkipped = true;
         }
-        firstTerm = false;
-        holdSteps.skipUnknown(views);
         disagreement.onRead(views);
         if (disagreement.isPresent()) {
             return repair(readings, views);
--- a/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
+++ b/rebalance/src/main/java/firwheel/rebalance/RankAgent.java
@@ -119,7 +119,8 @@
             return CompletableFuture.completedFuture(new RankCall.OrderReply(term, false));
         }
         if (call.order().step() != RankView.NONE) {
-            holdSteps.add(call.order().epoch(), call.order().step());
+            holdSteps.merge(
+                    new HoldSteps.Known(call.order().epoch(), call.order().step()));
         }
         return placement(call)
                 .thenCompose(packed -> engine.submit(call.unpack(packed)))
--- a/rebalance/src/main/java/firwheel/rebalance/ReadingLog.java
+++ b/rebalance/src/main/java/firwheel/rebalance/ReadingLog.java
@@ -29,7 +29,7 @@
         VERSIONS_USED,
         /** A rollout of an earlier controller is aborted first. */
         TAKEOVER,
-        /** Steps near the last one are used, or may be, and the group does not run steps; another one could be switched to only late. */
+        /** The next steps are or may be used, and the group does not run steps; a map could be switched to only late. */
         HOLD_STEPS_USED,
         /** The configuration of the group is not known. */
         NO_POLICY,
