--- a/rebalance/src/test/java/firwheel/rebalance/NarrowLink.java
+++ b/rebalance/src/test/java/firwheel/rebalance/NarrowLink.java
@@ -42,12 +42,12 @@
         this.bytesPerSecond = bytesPerSecond;
     }
 
-    /** Forwards connections to {@code ip} and {@code linkPort} to the server at {@code ip} and {@code serverPort}. */
-    Future<NetServer> forward(String ip, int linkPort, int serverPort) {
+    /** Forwards connections to {@code ip} and {@code linkPort} to a server. */
+    Future<NetServer> forward(String ip, int linkPort, String serverIp, int serverPort) {
         return vertx.createNetServer()
                 .connectHandler(near -> {
                     near.pause();
-                    vertx.createNetClient().connect(serverPort, ip).onSuccess(far -> {
+                    vertx.createNetClient().connect(serverPort, serverIp).onSuccess(far -> {
                         near.handler(bytes -> outgoing.deliver(bytes, near, far));
                         far.handler(bytes -> incoming.deliver(bytes, far, near));
                         near.closeHandler(ignored -> far.close());
