--- a/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
+++ b/experts/src/main/java/firwheel/experts/rollout/MapRollout.java
@@ -65,6 +65,8 @@
     private Phase phase;
     private long phaseStartMillis;
     private long holdingStartMillis;
+    private long committingStartMillis;
+    private long leadMillis;
     private long refusedHolds;
     private boolean holdLost;
 
@@ -95,6 +97,7 @@
         phaseStartMillis = nowMillis;
         startMillis = nowMillis;
         holdingStartMillis = nowMillis;
+        committingStartMillis = nowMillis;
         firstStep = lastStartedStep(views);
     }
 
@@ -250,6 +253,19 @@
         return phaseStartMillis - holdingStartMillis;
     }
 
+    /** Returns how long before the held step the hold was to be placed, in milliseconds; 0 before it is. */
+    public long leadMillis() {
+        return leadMillis;
+    }
+
+    /**
+     * Returns how long it took to place the hold and to arm the other ranks, in milliseconds; 0 before that is done. The
+     * group is blocked if it takes about as long as the lead or longer.
+     */
+    public long armMillis() {
+        return Math.max(0, committingStartMillis - holdingStartMillis);
+    }
+
     /**
      * Returns the orders to send, given views of all ranks in rank order. A change of the group epoch ends the rollout.
      */
@@ -355,6 +371,7 @@
         long lastStartedStep = lastStartedStep(views);
         if (step == RankView.NONE || lastStartedStep >= step) {
             step = holdSteps.next(lastStartedStep + leadSteps(lastStartedStep, nowMillis));
+            leadMillis = limits.leadTime().toMillis();
         }
         return List.of(rankOrders.hold(holdView, step));
     }
@@ -488,6 +505,9 @@
         if (phase == Phase.PREPARING) {
             holdingStartMillis = nowMillis;
         }
+        if (next == Phase.COMMITTING) {
+            committingStartMillis = nowMillis;
+        }
         phase = next;
         phaseStartMillis = nowMillis;
     }
--- a/rebalance/src/main/java/firwheel/rebalance/MapController.java
+++ b/rebalance/src/main/java/firwheel/rebalance/MapController.java
@@ -433,6 +433,10 @@
                     finished.loadMillis(),
                     "switchMillis",
                     finished.switchMillis(),
+                    "leadMillis",
+                    finished.leadMillis(),
+                    "armMillis",
+                    finished.armMillis(),
                     "state",
                     finished.toString());
         }
