Rollouts: count the age of the views in the lead of a hold

Callers saw a pause of 178 to 257 ms in nearly all their streams at each switch to a new expert map, with 129 ranks and passes of 80 to 130 ms; a stream that pauses for over 150 ms is late.

Cause: the lead of a hold is three times the time in which all ranks answer a call, for arming them, reading them again and the calls of the hold rank. The step that it counts from comes from a reading, which is as old as one such time when the hold is ordered. In a small group that is a few milliseconds; with 129 ranks it is most of a pass, so the group reached the held step before all ranks were armed.

The lead is now four times that time. SwitchDurationTest plays switches with passes of 60 to 200 ms at all offsets: with exchanges of 40, 80 and 120 ms it failed before (20 ms blocked at the first combination that blocked). MapRolloutTest expected 180 ms at 60 ms and expects 240 ms now, which is stricter.

--- a/experts/src/main/java/firwheel/experts/rollout/RolloutLimits.java
+++ b/experts/src/main/java/firwheel/experts/rollout/RolloutLimits.java
@@ -14,7 +14,9 @@
  */
 public record RolloutLimits(
         long maxLeadSteps, Duration leadTime, Duration prepareLimit, Duration holdLimit, Duration armLimit) {
-    private static final int EXCHANGES_PER_SWITCH = 3; // arm, read the armed ranks; one for the calls of the hold rank
+    // From the reading that the hold is placed by: that one, arm, read the armed ranks; one for the calls of the hold
+    // rank.
+    private static final int EXCHANGES_PER_SWITCH = 4;
     private static final long MIN_LEAD_STEPS = 2; // the step after the last started one may begin at any moment
 
     public RolloutLimits {
