Rollouts: count the time to arm ranks in the lead of a hold

Two exchanges of 56 ms do not explain 190 ms: an order takes longer than a reading, as each agent calls its engine.

The lead now has six exchanges: two for the orders, and one for a reading that is due. SwitchDurationTest plays both; with a lead of four exchanges it fails at 40, 80 and 120 ms. Its passes are no shorter than an exchange, since the lead is limited to eight steps.

--- a/experts/src/main/java/firwheel/experts/rollout/RolloutLimits.java
+++ b/experts/src/main/java/firwheel/experts/rollout/RolloutLimits.java
@@ -14,9 +14,9 @@
  */
 public record RolloutLimits(
         long maxLeadSteps, Duration leadTime, Duration prepareLimit, Duration holdLimit, Duration armLimit) {
-    // From the reading that the hold is placed by: that one, arm, read the armed ranks; one for the calls of the hold
-    // rank.
-    private static final int EXCHANGES_PER_SWITCH = 4;
+    // The reading that the hold is placed by; arm, which takes two as agents call their engines; read the armed ranks;
+    // another reading if one is due; one for the calls of the hold rank.
+    private static final int EXCHANGES_PER_SWITCH = 6;
     private static final long MIN_LEAD_STEPS = 2; // the step after the last started one may begin at any moment
 
     public RolloutLimits {
--- a/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
+++ b/experts/src/test/java/firwheel/experts/rollout/MapRolloutTest.java
@@ -111,7 +111,7 @@
         void lastsAsLongAsTheExchangesOfALargeGroup() {
             RolloutLimits limits = LIMITS.withExchangeTime(Duration.ofMillis(60));
 
-            assertThat(limits.leadTime()).isEqualTo(Duration.ofMillis(240));
+            assertThat(limits.leadTime()).isEqualTo(Duration.ofMillis(360));
             assertThat(limits.withExchangeTime(Duration.ofMillis(10))).isEqualTo(limits);
         }
 
--- a/experts/src/test/java/firwheel/experts/rollout/SwitchDurationTest.java
+++ b/experts/src/test/java/firwheel/experts/rollout/SwitchDurationTest.java
@@ -11,11 +11,15 @@
     private static final int[][][] MAP = {{{0}, {1}}};
     private static final int RANKS = 3;
     private static final int CALL_MILLIS = 4; // of one rank
+    private static final int MAX_READING_AGE_MILLIS = 250;
 
     private static final RolloutLimits LIMITS = new RolloutLimits(
             8, Duration.ofMillis(100), Duration.ofSeconds(4), Duration.ofMillis(600), Duration.ofMillis(400));
 
-    /** A group that starts steps of equal duration, and a controller whose calls of all ranks take the exchange time. */
+    /**
+     * A group that starts steps of equal duration, and a controller whose readings of all ranks take the exchange time
+     * and whose orders to all ranks take twice as long.
+     */
     private static final class TimedGroup {
         final GroupModel group = new GroupModel(RANKS);
         final int stepMillis;
@@ -43,17 +47,19 @@
         void run(MapRollout rollout) {
             rollout.setLimits(LIMITS.withExchangeTime(Duration.ofMillis(exchangeMillis)));
             List<RankView> views = group.views();
+            long readMillis = -MAX_READING_AGE_MILLIS;
             while (!rollout.finished()) {
                 int decidingRank = rollout.decidingRank();
-                if (decidingRank == RankView.NONE) {
+                if (decidingRank == RankView.NONE || nowMillis - readMillis >= MAX_READING_AGE_MILLIS) {
                     views = group.views();
+                    readMillis = nowMillis;
                     pass(exchangeMillis);
                 } else {
                     views.set(decidingRank, group.views().get(decidingRank));
                     pass(CALL_MILLIS);
                 }
                 List<RankOrder> orders = rollout.nextOrders(views, nowMillis);
-                pass(orders.size() > 1 ? exchangeMillis : CALL_MILLIS);
+                pass(orders.size() > 1 ? 2 * exchangeMillis : CALL_MILLIS);
                 orders.forEach(group::execute);
             }
         }
@@ -62,7 +68,8 @@
     @ParameterizedTest
     @ValueSource(ints = {10, 40, 80, 120})
     void doesNotBlockGroupWhoseRanksAnswerWithinExchangeTime(int exchangeMillis) {
-        for (int stepMillis = 60; stepMillis <= 200; stepMillis += 10) {
+        int minStepMillis = Math.max(60, exchangeMillis); // the lead is limited to a number of steps
+        for (int stepMillis = minStepMillis; stepMillis <= 200; stepMillis += 10) {
             for (int firstStepMillis = 1; firstStepMillis < stepMillis; firstStepMillis += 5) {
                 TimedGroup timed = new TimedGroup(stepMillis, firstStepMillis, exchangeMillis);
                 List<RankView> views = timed.group.views();
