--- a/scripts/soak/processes.py
+++ b/scripts/soak/processes.py
@@ -39,10 +39,11 @@
 class Entry:
     """An entry that is started again whenever it has ended."""
 
-    def __init__(self, index, network, store_address, binary, folder):
+    def __init__(self, index, network, store_address, binary, folder, java_options=tuple(JAVA_OPTIONS)):
         self.name = f"entry-{index}"
         self.ip = f"{network}.{index + 1}"
         self.binary = binary
+        self.java_options = java_options
         self.folder = folder
         self.lives = []
         self.in_rotation = True
@@ -75,7 +76,7 @@
         log = self.folder / f"{self.name}-{number}.log"
         with open(log, "wb") as output:
             child = await asyncio.create_subprocess_exec(
-                "java", *JAVA_OPTIONS, "-XX:+ExitOnOutOfMemoryError", f"-XX:SharedArchiveFile={self.folder / ARCHIVE}",
+                "java", *self.java_options, "-XX:+ExitOnOutOfMemoryError", f"-XX:SharedArchiveFile={self.folder / ARCHIVE}",
                 "-Xlog:disable", "-jar", str(self.binary), "platform-entry", "--settings", str(self.settings),
                 stdout=output, stderr=output)
         self.lives.append(Life(number, child, log))
