Entries: bound what a client makes them keep besides bodies

Clients ended an entry: out of memory. They sent heads of many short lines, within or over the limit or without end, trailers without end, or requests without end on one connection.

Cause: what a client made the process keep was accounted for and bounded for bodies and unread responses only. Each line of four bytes keeps some 150 to 300 bytes; the limits of the configuration for heads were decoded and used nowhere; Vert.x decodes all requests that arrive, however many wait for the current one, and Netty up to 64 kB of a head at once.

Now each connection has one account (ClientInput) in the sum of HeldBytes: heads by the objects that are kept for them, trailers, and bytes not decoded. The connection that keeps most is closed when the sum exceeds its limit; ordinary heads count as small and never give way. maxHeaderBytes and headerTimeoutMs are those of the configuration in force, also on open connections, and 16 kB and 3 s before the first one. No more than a head may have is decoded at once, and two requests of a connection; the others wait unread. What was refused has not been decoded to its end, so it never ran.

--- a/proxy/src/main/java/firwheel/proxy/attempt/ChunkFramingCheck.java
+++ b/proxy/src/main/java/firwheel/proxy/attempt/ChunkFramingCheck.java
@@ -44,6 +44,11 @@
         return violation;
     }
 
+    /** Returns whether the last chunk has been read, so that only trailers follow. */
+    public boolean inTrailers() {
+        return trailers != null;
+    }
+
     private void acceptLineBreak(char c) {
         char expected = remainingBytes == LINE_BREAK_BYTES ? '\r' : '\n';
         remainingBytes--;
--- a/proxy/src/main/java/firwheel/proxy/memory/HeldBytes.java
+++ b/proxy/src/main/java/firwheel/proxy/memory/HeldBytes.java
@@ -21,6 +21,8 @@
 public final class HeldBytes {
     /** What bytes are kept for. */
     public enum Kind {
+        /** Heads that a client has sent on one connection, and what has not been decoded. */
+        HEAD,
         /** Body of a request, until it can no longer be sent. */
         REQUEST,
         /** Content of a response that is passed on once it is complete. */
--- a/proxy/src/main/java/firwheel/proxy/server/ClientConnection.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ClientConnection.java
@@ -16,14 +16,19 @@
 
     private final Vertx vertx;
     private final HttpConnection connection;
+    private final ClientInput input;
+    private final StrictRequestDecoder decoder;
     private boolean lastResponseBegun;
     private boolean lingering;
     private int openRequests;
     private long idleSinceNanos;
 
-    ClientConnection(Vertx vertx, HttpConnection connection, long nowNanos) {
+    ClientConnection(
+            Vertx vertx, HttpConnection connection, ClientInput input, StrictRequestDecoder decoder, long nowNanos) {
         this.vertx = vertx;
         this.connection = connection;
+        this.input = input;
+        this.decoder = decoder;
         idleSinceNanos = nowNanos;
     }
 
@@ -33,6 +38,17 @@
 
     void onRequestEnd() {
         openRequests--;
+        decoder.onRequestEnd();
+    }
+
+    /** Returns whether a request head has not been complete within {@code nanos} since its first byte. */
+    boolean isHeadOverdue(long nowNanos, long nanos) {
+        return input.isHeadOverdue(nowNanos, nanos);
+    }
+
+    /** Records that the connection is closed. */
+    void onClosed() {
+        input.close();
     }
 
     void setIdleSince(long nowNanos) {
--- a/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
+++ b/proxy/src/main/java/firwheel/proxy/server/ProxyServer.java
@@ -28,6 +28,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.impl.HttpServerConnection;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -48,8 +49,9 @@
  * be called.
  */
 public final class ProxyServer {
-    private static final int MAX_HEADER_BYTES =
-            64 * 1024; // limits memory use until a configuration states its own limit
+    private static final int MAX_HEADER_BYTES = 64 * 1024; // of any configuration
+    private static final int INITIAL_MAX_HEADER_BYTES = 16 * 1024; // until a configuration is known
+    private static final Duration INITIAL_HEADER_TIMEOUT = Duration.ofSeconds(3);
     private static final int MAX_REQUEST_LINE_BYTES = 16 * 1024; // longer paths are not in use
     private static final long MAINTENANCE_INTERVAL_MILLIS = 250; // a quarter of the shortest idle timeout in use
     private static final Duration DRAIN_GRACE_PERIOD =
@@ -317,14 +319,30 @@
             var unused = connection.close();
             return;
         }
-        StrictRequestDecoder.install(connection, options);
-        clientConnections.put(connection, new ClientConnection(vertx, connection, state.time.monotonicNanos()));
+        ClientInput input = new ClientInput(
+                state.heldBytes, this::maxHeaderBytes, boundary.wrap("memory full", () -> closeAtOnce(connection)));
+        StrictRequestDecoder decoder = StrictRequestDecoder.install(connection, options, input, state.time);
+        ClientConnection client = new ClientConnection(vertx, connection, input, decoder, state.time.monotonicNanos());
+        clientConnections.put(connection, client);
         connection.closeHandler(ignored -> {
             clientConnections.remove(connection);
+            client.onClosed();
             completeDrain();
         });
     }
 
+    private static void closeAtOnce(HttpConnection connection) {
+        var unused = ((HttpServerConnection) connection)
+                .channelHandlerContext()
+                .channel()
+                .close();
+    }
+
+    private int maxHeaderBytes() {
+        RoutingConfig config = state.config();
+        return config == null ? INITIAL_MAX_HEADER_BYTES : config.limits().maxHeaderBytes();
+    }
+
     private void onRequest(HttpServerRequest request) {
         if (!boundary.run("accept request", () -> accept(request))) {
             var unused = request.connection().close();
@@ -438,6 +456,7 @@
         boundary.run("remove expired crashes", state.crashGuard::removeExpired);
         boundary.run("remove expired parts", state.partGuard::removeExpired);
         RoutingConfig config = state.config();
+        boundary.run("close overdue heads", () -> closeOverdueHeads(config));
         if (config != null) {
             Duration idleTimeout = Duration.ofMillis(config.limits().idleTimeoutMillis());
             boundary.run("close idle connections", () -> closeIdleClients(idleTimeout.toNanos()));
@@ -457,6 +476,16 @@
         }
     }
 
+    private void closeOverdueHeads(@Nullable RoutingConfig config) {
+        long now = state.time.monotonicNanos();
+        long timeoutNanos = config == null
+                ? INITIAL_HEADER_TIMEOUT.toNanos()
+                : Duration.ofMillis(config.limits().headerTimeoutMillis()).toNanos();
+        List.copyOf(clientConnections.values()).stream()
+                .filter(client -> client.isHeadOverdue(now, timeoutNanos))
+                .forEach(ClientConnection::close);
+    }
+
     private void closeIdleClients(long idleNanos) {
         long now = state.time.monotonicNanos();
         List.copyOf(clientConnections.values()).stream()
--- a/proxy/src/main/java/firwheel/proxy/server/StrictRequestDecoder.java
+++ b/proxy/src/main/java/firwheel/proxy/server/StrictRequestDecoder.java
@@ -1,13 +1,18 @@
 package firwheel.proxy.server;
 
+import firwheel.model.TimeSource;
 import firwheel.proxy.attempt.ChunkFramingCheck;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerOptions;
@@ -17,50 +22,150 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Decodes requests and refuses those whose length is stated twice, in the head and by chunks, or whose chunks are no
- * certain ones. Vert.x has no option for it: its own decoder drops the header and cuts off long sizes, so that what the
- * caller counts as content runs as a request.
+ * Decodes requests within the limits of {@link ClientInput}, and refuses those whose length is stated twice, in the head
+ * and by chunks, or whose chunks are no certain ones. Vert.x has no option for it: its own decoder drops the header and
+ * cuts off long sizes, so that what the caller counts as content runs as a request, and decodes requests without end
+ * that wait for the current one.
  */
 final class StrictRequestDecoder extends VertxHttpRequestDecoder {
     private static final String HANDLER_NAME = "httpDecoder";
+    private static final int MAX_WAITING_BYTES =
+            16 * 1024; // with less, reading goes on and finds out if the client left
 
+    private final ClientInput input;
+    private final TimeSource time;
+    private @Nullable ChannelHandlerContext context;
     private @Nullable ChunkFramingCheck chunkCheck;
+    private boolean inContent;
+    private boolean waiting;
+    private boolean refused;
 
-    private StrictRequestDecoder(HttpServerOptions options) {
+    private StrictRequestDecoder(HttpServerOptions options, ClientInput input, TimeSource time) {
         super(options);
+        this.input = input;
+        this.time = time;
     }
 
     /** Replaces the decoder of a connection, from which nothing has been read. */
-    static void install(HttpConnection connection, HttpServerOptions options) {
+    static StrictRequestDecoder install(
+            HttpConnection connection, HttpServerOptions options, ClientInput input, TimeSource time) {
         ChannelPipeline pipeline =
                 ((HttpServerConnection) connection).channelHandlerContext().pipeline();
-        var unused = pipeline.replace(VertxHttpRequestDecoder.class, HANDLER_NAME, new StrictRequestDecoder(options));
+        StrictRequestDecoder decoder = new StrictRequestDecoder(options, input, time);
+        var unused = pipeline.replace(VertxHttpRequestDecoder.class, HANDLER_NAME, decoder);
+        return decoder;
+    }
+
+    /** Decodes requests that wait, as an open one has ended. */
+    void onRequestEnd() {
+        input.onRequestEnd();
+        ChannelHandlerContext usedContext = context;
+        if (waiting && usedContext != null) {
+            waiting = false;
+            usedContext.executor().execute(() -> decodeWaiting(usedContext));
+        }
+    }
+
+    private void decodeWaiting(ChannelHandlerContext usedContext) {
+        usedContext.channel().config().setAutoRead(true);
+        try {
+            channelRead(usedContext, Unpooled.EMPTY_BUFFER);
+            channelReadComplete(usedContext);
+        } catch (Exception e) {
+            usedContext.fireExceptionCaught(e);
+        }
     }
 
     @Override
-    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
-        int start = in.readerIndex();
+    protected void decode(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out) throws Exception {
+        context = usedContext;
+        if (refused) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        waiting = !inContent && !input.mayStartRequest();
+        if (waiting) {
+            if (in.readableBytes() > MAX_WAITING_BYTES) {
+                usedContext.channel().config().setAutoRead(false);
+            }
+        } else if (inContent) {
+            decodeContent(usedContext, in, out);
+        } else {
+            decodeHead(usedContext, in, out);
+        }
+        if (!input.keep(in.readableBytes())) {
+            refuse(usedContext, in, out); // the connection is being closed
+        }
+    }
+
+    private void decodeHead(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out) throws Exception {
+        ByteBuf decoded = decodeWithinLimit(usedContext, in, out);
+        boolean complete = !out.isEmpty();
+        if (!input.onHead(decoded, complete ? 0 : in.readableBytes(), time.monotonicNanos())) {
+            refuse(usedContext, in, out);
+            HttpMessage invalid = createInvalidMessage();
+            invalid.setDecoderResult(DecoderResult.failure(
+                    new TooLongHttpHeaderException("head exceeds " + input.maxHeadBytes() + " bytes")));
+            out.add(invalid);
+        } else if (complete) {
+            input.onHeadComplete();
+            chunkCheck = out.get(0) instanceof HttpRequest request && HttpUtil.isTransferEncodingChunked(request)
+                    ? new ChunkFramingCheck()
+                    : null;
+            inContent = !endsContent(out);
+        }
+    }
+
+    private void decodeContent(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out) throws Exception {
         ChunkFramingCheck check = chunkCheck;
-        super.decode(context, in, out);
-        if (check != null) {
-            byte[] read = new byte[in.readerIndex() - start];
-            in.getBytes(start, read);
-            String violation = check.accept(read);
+        if (check == null) {
+            super.decode(usedContext, in, out);
+        } else {
+            ByteBuf decoded = decodeWithinLimit(usedContext, in, out);
+            String violation = check.accept(ByteBufUtil.getBytes(decoded));
+            if (violation == null && check.inTrailers() && !endsContent(out)) {
+                boolean withinLimit = input.onHead(decoded, 0, time.monotonicNanos());
+                violation = withinLimit ? null : "trailers exceed " + input.maxHeadBytes() + " bytes";
+            }
             if (violation != null) {
-                out.forEach(ReferenceCountUtil::release);
-                out.clear();
+                refuse(usedContext, in, out);
                 throw new IllegalArgumentException(violation);
             }
         }
-        for (Object message : out) {
-            if (message instanceof HttpRequest request) {
-                chunkCheck = HttpUtil.isTransferEncodingChunked(request) ? new ChunkFramingCheck() : null;
-            } else if (message instanceof LastHttpContent) {
-                chunkCheck = null;
-            }
+        if (endsContent(out)) {
+            input.forgetHead();
+            chunkCheck = null;
+            inContent = false;
         }
     }
 
+    /** Decodes no more bytes at once than a head may have; returns those that were decoded. */
+    private ByteBuf decodeWithinLimit(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out)
+            throws Exception {
+        ByteBuf part = in.slice(in.readerIndex(), Math.min(in.readableBytes(), input.maxHeadBytes() + 1));
+        super.decode(usedContext, part, out);
+        in.skipBytes(part.readerIndex());
+        return part.slice(0, part.readerIndex());
+    }
+
+    private void refuse(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out) throws Exception {
+        refused = true;
+        drop(in, out);
+        reset();
+        super.decode(usedContext, Unpooled.EMPTY_BUFFER, out); // drops what has been decoded of the head
+        input.forgetHead();
+    }
+
+    private static boolean endsContent(List<Object> messages) {
+        return !messages.isEmpty() && messages.get(messages.size() - 1) instanceof LastHttpContent;
+    }
+
+    private static void drop(ByteBuf in, List<Object> out) {
+        in.skipBytes(in.readableBytes());
+        out.forEach(ReferenceCountUtil::release);
+        out.clear();
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("Content-Length and Transfer-Encoding in one request");
