Request decoder: one field for requests that wait

A reader met two names for one handler context, a field that was always set and a flag that says whether it counts. The field is now the context of requests that wait, and null if none do. No change of behaviour; client-run and RequestHeadLimitTest cover both ways.

--- a/proxy/src/main/java/firwheel/proxy/server/StrictRequestDecoder.java
+++ b/proxy/src/main/java/firwheel/proxy/server/StrictRequestDecoder.java
@@ -34,10 +34,9 @@
 
     private final ClientInput input;
     private final TimeSource time;
-    private @Nullable ChannelHandlerContext context;
+    private @Nullable ChannelHandlerContext waitingContext; // of requests that are not decoded yet, null if none
     private @Nullable ChunkFramingCheck chunkCheck;
     private boolean inContent;
-    private boolean waiting;
     private boolean refused;
 
     private StrictRequestDecoder(HttpServerOptions options, ClientInput input, TimeSource time) {
@@ -59,50 +58,50 @@
     /** Decodes requests that wait, as an open one has ended. */
     void onRequestEnd() {
         input.onRequestEnd();
-        ChannelHandlerContext usedContext = context;
-        if (waiting && usedContext != null) {
-            waiting = false;
-            usedContext.executor().execute(() -> decodeWaiting(usedContext));
+        ChannelHandlerContext context = waitingContext;
+        if (context != null) {
+            waitingContext = null;
+            context.executor().execute(() -> decodeWaiting(context));
         }
     }
 
-    private void decodeWaiting(ChannelHandlerContext usedContext) {
-        usedContext.channel().config().setAutoRead(true);
+    private void decodeWaiting(ChannelHandlerContext context) {
+        context.channel().config().setAutoRead(true);
         try {
-            channelRead(usedContext, Unpooled.EMPTY_BUFFER);
-            channelReadComplete(usedContext);
+            channelRead(context, Unpooled.EMPTY_BUFFER);
+            channelReadComplete(context);
         } catch (Exception e) {
-            usedContext.fireExceptionCaught(e);
+            context.fireExceptionCaught(e);
         }
     }
 
     @Override
-    protected void decode(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out) throws Exception {
-        context = usedContext;
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
         if (refused) {
             in.skipBytes(in.readableBytes());
             return;
         }
-        waiting = !inContent && !input.mayStartRequest();
+        boolean waiting = !inContent && !input.mayStartRequest();
+        waitingContext = waiting ? context : null;
         if (waiting) {
             if (in.readableBytes() > MAX_WAITING_BYTES) {
-                usedContext.channel().config().setAutoRead(false);
+                context.channel().config().setAutoRead(false);
             }
         } else if (inContent) {
-            decodeContent(usedContext, in, out);
+            decodeContent(context, in, out);
         } else {
-            decodeHead(usedContext, in, out);
+            decodeHead(context, in, out);
         }
         if (!input.keep(in.readableBytes())) {
-            refuse(usedContext, in, out); // the connection is being closed
+            refuse(context, in, out); // the connection is being closed
         }
     }
 
-    private void decodeHead(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out) throws Exception {
-        ByteBuf decoded = decodeWithinLimit(usedContext, in, out);
+    private void decodeHead(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        ByteBuf decoded = decodeWithinLimit(context, in, out);
         boolean complete = !out.isEmpty();
         if (!input.onHead(decoded, complete ? 0 : in.readableBytes(), time.monotonicNanos())) {
-            refuse(usedContext, in, out);
+            refuse(context, in, out);
             HttpMessage invalid = createInvalidMessage();
             invalid.setDecoderResult(DecoderResult.failure(
                     new TooLongHttpHeaderException("head exceeds " + input.maxHeadBytes() + " bytes")));
@@ -116,19 +115,19 @@
         }
     }
 
-    private void decodeContent(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out) throws Exception {
+    private void decodeContent(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
         ChunkFramingCheck check = chunkCheck;
         if (check == null) {
-            super.decode(usedContext, in, out);
+            super.decode(context, in, out);
         } else {
-            ByteBuf decoded = decodeWithinLimit(usedContext, in, out);
+            ByteBuf decoded = decodeWithinLimit(context, in, out);
             String violation = check.accept(ByteBufUtil.getBytes(decoded));
             if (violation == null && check.inTrailers() && !endsContent(out)) {
                 boolean withinLimit = input.onHead(decoded, 0, time.monotonicNanos());
                 violation = withinLimit ? null : "trailers exceed " + input.maxHeadBytes() + " bytes";
             }
             if (violation != null) {
-                refuse(usedContext, in, out);
+                refuse(context, in, out);
                 throw new IllegalArgumentException(violation);
             }
         }
@@ -140,19 +139,18 @@
     }
 
     /** Decodes no more bytes at once than a head may have; returns those that were decoded. */
-    private ByteBuf decodeWithinLimit(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out)
-            throws Exception {
+    private ByteBuf decodeWithinLimit(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
         ByteBuf part = in.slice(in.readerIndex(), Math.min(in.readableBytes(), input.maxHeadBytes() + 1));
-        super.decode(usedContext, part, out);
+        super.decode(context, part, out);
         in.skipBytes(part.readerIndex());
         return part.slice(0, part.readerIndex());
     }
 
-    private void refuse(ChannelHandlerContext usedContext, ByteBuf in, List<Object> out) throws Exception {
+    private void refuse(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
         refused = true;
         drop(in, out);
         reset();
-        super.decode(usedContext, Unpooled.EMPTY_BUFFER, out); // drops what has been decoded of the head
+        super.decode(context, Unpooled.EMPTY_BUFFER, out); // drops what has been decoded of the head
         input.forgetHead();
     }
 
