--- a/scripts/soak/processes.py
+++ b/scripts/soak/processes.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import re
+import resource
 import signal
 import time
 
@@ -39,11 +40,13 @@
 class Entry:
     """An entry that is started again whenever it has ended."""
 
-    def __init__(self, index, network, store_address, binary, folder, java_options=tuple(JAVA_OPTIONS)):
+    def __init__(self, index, network, store_address, binary, folder, java_options=tuple(JAVA_OPTIONS),
+                 max_descriptors=None):
         self.name = f"entry-{index}"
         self.ip = f"{network}.{index + 1}"
         self.binary = binary
         self.java_options = java_options
+        self.max_descriptors = max_descriptors
         self.folder = folder
         self.lives = []
         self.in_rotation = True
@@ -78,9 +81,13 @@
             child = await asyncio.create_subprocess_exec(
                 "java", *self.java_options, "-XX:+ExitOnOutOfMemoryError", f"-XX:SharedArchiveFile={self.folder / ARCHIVE}",
                 "-Xlog:disable", "-jar", str(self.binary), "platform-entry", "--settings", str(self.settings),
-                stdout=output, stderr=output)
+                stdout=output, stderr=output, preexec_fn=self.limit_descriptors)
         self.lives.append(Life(number, child, log))
 
+    def limit_descriptors(self):
+        if self.max_descriptors is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_descriptors, self.max_descriptors))
+
     def has_handlers(self):
         """Returns whether the process handles SIGHUP, which ends a JVM that is still starting."""
         return self.life.ended is None and STARTED in self.life.log.read_text(errors="replace")
